Add the HTTP package's frame

Cause: daemon, stand-ins and command line each need HTTP by h11. Change: one package for it. Conclusion: none of them writes its own.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := config decisions daemon cli testkit
+PACKAGES := config decisions http daemon cli testkit
 SOURCES := packages tests
 PYTEST := $(BIN)/python -m pytest
 
--- /dev/null
+++ b/packages/http/src/jacinthcroft_http/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Machinery of this package; import from the top level instead."""
