--- /dev/null
+++ b/packages/http/src/jacinthcroft_http/internal/messages.py
@@ -0,0 +1,136 @@
+"""Requests and responses as the handlers and the pool see them."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Iterable
+from typing import Any
+
+from attrs import define, field, frozen
+
+from jacinthcroft_http.internal.headers import Headers, as_headers
+from jacinthcroft_http.internal.outcomes import BodyTooLarge
+
+
+async def read_up_to(
+    chunks: AsyncIterator[bytes],
+    limit: int,
+) -> bytes | BodyTooLarge:
+    """Joins a body's chunks, unless they exceed a limit in bytes.
+
+    Raises:
+        BodyCut: If the body breaks off.
+    """
+    received: list[bytes] = []
+    size = 0
+    async for chunk in chunks:
+        size += len(chunk)
+        if size > limit:
+            return BodyTooLarge(limit)
+        received.append(chunk)
+    return b''.join(received)
+
+
+@define(eq=False)
+class IncomingRequest:
+    """A caller's request whose head has been read.
+
+    `received_at` is on the boot clock, in seconds. `caller_gone` is set when
+    the caller disconnects; the handler's task is cancelled then too.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    body: AsyncIterator[bytes]
+    received_at: float
+    remote: str
+    caller_gone: asyncio.Event = field(factory=asyncio.Event)
+
+    @property
+    def path(self) -> str:
+        """The target's path, still percent-encoded."""
+        return self._origin_form.partition('?')[0]
+
+    @property
+    def query(self) -> str:
+        """The target's query without the question mark."""
+        return self._origin_form.partition('?')[2]
+
+    async def read_body(self, limit: int) -> bytes | BodyTooLarge:
+        """Reads the whole body, up to a limit in bytes.
+
+        Raises:
+            BodyCut: If the body breaks off.
+        """
+        return await read_up_to(self.body, limit)
+
+    @property
+    def _origin_form(self) -> str:
+        if self.target.startswith('/'):
+            return self.target
+        # A caller may send `http://host/path`, as it would to any proxy.
+        rest = self.target.partition('://')[2].partition('/')[2]
+        return f'/{rest}'
+
+
+@frozen(eq=False)
+class Response:
+    """An answer to a caller.
+
+    A body of bytes is sent with its length; an iterated body is sent with
+    the Content-Length among the headers, or else in chunks.
+    """
+
+    status: int
+    headers: Headers = field(default=Headers(), converter=as_headers)
+    body: bytes | AsyncIterator[bytes] = b''
+
+    @classmethod
+    def json(
+        cls,
+        status: int,
+        document: Any,
+        headers: Headers | Iterable[tuple[str, str]] = (),
+    ) -> 'Response':
+        """Makes an answer of a JSON document."""
+        text = json.dumps(document, separators=(',', ':'))
+        return cls._typed(status, text, 'application/json', headers)
+
+    @classmethod
+    def text(
+        cls,
+        status: int,
+        text: str,
+        headers: Headers | Iterable[tuple[str, str]] = (),
+    ) -> 'Response':
+        """Makes an answer of plain text."""
+        return cls._typed(status, text, 'text/plain; charset=utf-8', headers)
+
+    @classmethod
+    def _typed(
+        cls,
+        status: int,
+        text: str,
+        content_type: str,
+        headers: Headers | Iterable[tuple[str, str]],
+    ) -> 'Response':
+        fields = as_headers(headers)
+        if fields.get('content-type') is None:
+            fields = fields.with_added(('content-type', content_type))
+        return cls(status, fields, text.encode())
+
+
+@frozen(eq=False)
+class OutgoingRequest:
+    """A request to another process; `target` is the path and query.
+
+    `host` is an IP number. Iterated bodies are sent with the Content-Length
+    among the headers, or else in chunks.
+    """
+
+    host: str
+    port: int
+    method: str
+    target: str
+    headers: Headers = field(default=Headers(), converter=as_headers)
+    body: bytes | AsyncIterator[bytes] | None = None
