--- /dev/null
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/app.py
@@ -0,0 +1,227 @@
+"""One VM of the fleet: builds its services, runs them, stops gracefully."""
+
+import asyncio
+import secrets
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from jacinthcroft_config import Settings
+from jacinthcroft_daemon.internal.fleet.spread import Spread, placements_of
+from jacinthcroft_daemon.internal.fleet.view import FleetView
+from jacinthcroft_daemon.internal.operators import OperatorPort
+from jacinthcroft_daemon.internal.peers import PeerClient, PeerRouter, Signer
+from jacinthcroft_daemon.internal.pipeline.admission import Admission
+from jacinthcroft_daemon.internal.pipeline.attempt import Attempts
+from jacinthcroft_daemon.internal.pipeline.callers import CallerPort
+from jacinthcroft_daemon.internal.pipeline.once import OnceRunner
+from jacinthcroft_daemon.internal.pipeline.reporting import RequestReporter
+from jacinthcroft_daemon.internal.pipeline.runner import Runner
+from jacinthcroft_daemon.internal.platform import connect_platform
+from jacinthcroft_daemon.internal.sharing.claims import ClaimService
+from jacinthcroft_daemon.internal.sharing.coordination import (
+    CoordinationService,
+)
+from jacinthcroft_daemon.internal.sharing.held_cells import HeldCells
+from jacinthcroft_daemon.internal.sharing.holders import HolderFinder
+from jacinthcroft_daemon.internal.sharing.permits import PermitService
+from jacinthcroft_daemon.internal.sharing.probes import Prober
+from jacinthcroft_daemon.internal.sharing.quarantine import QuarantineService
+from jacinthcroft_daemon.internal.sharing.tokens import TokenService
+from jacinthcroft_daemon.internal.telemetry import log_event
+from jacinthcroft_decisions.coordination import CoordinationTerms
+from jacinthcroft_http import (
+    BadRequest,
+    ConnectionPool,
+    PoolLimits,
+    Response,
+    Server,
+    ServerLimits,
+    now,
+)
+
+_INCARNATION_BYTES: Final = 8
+_BAD_REQUEST: Final = 400
+
+
+class VmProcess:
+    """The process on one VM."""
+
+    def __init__(self, settings: Settings, secret: bytes) -> None:
+        """Builds all services; nothing runs yet."""
+        started_at = now()
+        incarnation = secrets.token_hex(_INCARNATION_BYTES)
+        self._settings = settings
+        signer = Signer(secret)
+        self._pool = ConnectionPool.from_limits(PoolLimits())
+        self._view = FleetView(
+            settings.vm,
+            settings.zone,
+            CoordinationTerms(),
+            started_at,
+        )
+        self._peers = PeerClient(
+            settings.vm,
+            signer,
+            self._pool,
+            self._view.peer_address,
+        )
+        self._router = PeerRouter(settings.vm, signer)
+        self._spread = Spread(
+            self._view,
+            settings,
+            connect_platform('http', settings.platform, settings.vm),
+            self._peers,
+            self._on_change,
+        )
+        self._coordination = CoordinationService(
+            self._view,
+            settings,
+            self._peers,
+            incarnation,
+            started_at,
+        )
+        self._build_sharing(incarnation)
+        self._build_ports()
+
+    async def run(self, stopping: asyncio.Event) -> None:
+        """Serves until told to stop, then stops without cutting requests."""
+        await self._start_servers()
+        loops = [asyncio.create_task(one()) for one in self._loops()]
+        try:
+            await self._wait(stopping, loops)
+            await self._drain()
+        finally:
+            for loop in loops:
+                loop.cancel()
+            await asyncio.gather(*loops, return_exceptions=True)
+            await self._pool.close()
+
+    def _build_sharing(self, incarnation: str) -> None:
+        view = self._view
+        finder = HolderFinder(view, self._peers)
+        self._cells = HeldCells(
+            view,
+            self._coordination,
+            Prober(self._pool),
+            incarnation,
+        )
+        self._permits = PermitService(view, self._cells, finder)
+        self._tokens = TokenService(view, self._coordination, finder)
+        self._quarantine = QuarantineService(
+            view,
+            self._coordination,
+            finder,
+            self._peers,
+        )
+        for service in (
+            self._spread,
+            self._coordination,
+            self._cells,
+            self._tokens,
+            self._quarantine,
+        ):
+            service.register(self._router)
+
+    def _build_ports(self) -> None:
+        reporter = RequestReporter()
+        admission = Admission(self._view)
+        attempts = Attempts(admission, self._permits, self._pool)
+        runner = Runner(
+            self._tokens,
+            self._permits,
+            attempts,
+            self._quarantine,
+        )
+        claims = ClaimService(self._view, self._coordination)
+        self._once = OnceRunner(claims, runner)
+        callers = CallerPort(
+            self._settings,
+            admission,
+            self._quarantine,
+            runner,
+            self._once,
+            reporter,
+        )
+        self._operators = OperatorPort(
+            self._view,
+            self._coordination,
+            self._cells,
+            self._permits,
+            reporter,
+        )
+        limits = ServerLimits(
+            max_head_bytes=self._settings.max_head_bytes,
+            head_timeout=self._settings.head_timeout_ms / 1000,
+        )
+        self._caller_server = Server.from_limits(
+            limits,
+            callers.handle,
+            callers.refuse_unreadable,
+        )
+        self._peer_server = Server.from_limits(
+            ServerLimits(),
+            self._router.answer,
+            _refuse_plainly,
+        )
+        self._operator_server = Server.from_limits(
+            ServerLimits(),
+            self._operators.handle,
+            _refuse_plainly,
+        )
+
+    async def _start_servers(self) -> None:
+        listen = self._settings
+        for server, address in (
+            (self._peer_server, listen.peers),
+            (self._operator_server, listen.operators),
+            (self._caller_server, listen.callers),
+        ):
+            await server.start(address.host, address.port)
+        log_event('info', 'started', vm=listen.vm, zone=listen.zone)
+
+    def _loops(self) -> tuple[Callable[[], Awaitable[None]], ...]:
+        return (
+            lambda: self._spread.run_platform_watch('vms'),
+            lambda: self._spread.run_platform_watch('bundle'),
+            self._spread.run_gossip,
+            self._coordination.run,
+            self._cells.run,
+            self._permits.run,
+        )
+
+    async def _wait(
+        self,
+        stopping: asyncio.Event,
+        loops: list[asyncio.Task[None]],
+    ) -> None:
+        stop = asyncio.create_task(stopping.wait())
+        done, _ = await asyncio.wait(
+            (stop, *loops),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        stop.cancel()
+        for finished in done:
+            # A loop never ends by itself: its error is a broken invariant,
+            # and stops the process.
+            finished.result()
+
+    async def _drain(self) -> None:
+        self._operators.is_draining = True
+        log_event('info', 'draining', vm=self._settings.vm)
+        # The balancer sees the readiness drop within this time; whatever it
+        # still sends is served.
+        await asyncio.sleep(self._settings.drain_notice_ms / 1000)
+        await self._coordination.release()
+        cut = await self._caller_server.drain(self._settings.drain_seconds)
+        await self._once.finish()
+        await self._peer_server.drain(1)
+        await self._operator_server.drain(1)
+        log_event('info', 'stopped', vm=self._settings.vm, cut=cut)
+
+    def _on_change(self) -> None:
+        self._coordination.adopt(placements_of(self._view))
+        self._cells.adopt()
+
+
+def _refuse_plainly(bad_request: BadRequest) -> Response:
+    return Response.text(_BAD_REQUEST, f'{bad_request.reason}\n')
--- /dev/null
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What a VM knows of the fleet, and how it stays current."""
--- /dev/null
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/fleet/spread.py
@@ -0,0 +1,260 @@
+"""Keeps this VM's view current: few VMs watch the platform, all ask peers.
+
+The VMs that rank first for the watch read the platform with a waiting call;
+the others look there now and then only. Every VM asks a few random peers for
+news on a short interval, which passes a revision through the whole fleet in
+a few rounds and tells, at the same time, who is there.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Final
+
+from jacinthcroft_config import Faults, Settings, load_vm_list
+from jacinthcroft_daemon.internal.fleet.bundles import (
+    MissingParts,
+    PartStore,
+    UnusableBundle,
+)
+from jacinthcroft_daemon.internal.fleet.messages import (
+    NewsQuestion,
+    NewsReply,
+    PartsQuestion,
+    PartsReply,
+)
+from jacinthcroft_daemon.internal.fleet.view import FleetView, PublishedText
+from jacinthcroft_daemon.internal.peers import (
+    PeerClient,
+    PeerRouter,
+    PeerSilent,
+)
+from jacinthcroft_daemon.internal.platform import (
+    NoNewer,
+    Platform,
+    PlatformAway,
+)
+from jacinthcroft_daemon.internal.telemetry import log_event
+from jacinthcroft_decisions.coordination import Placement
+from jacinthcroft_http import now
+
+_PEERS_A_ROUND: Final = 3
+_PEER_TIMEOUT_SECONDS: Final = 1.0
+_AWAY_PAUSE_SECONDS: Final = 0.5
+_OCCASIONAL_READ_SECONDS: Final = 20.0
+
+Listener = Callable[[], None]
+
+
+class Spread:
+    """Reads the platform, asks peers, answers peers, adopts what is newer."""
+
+    def __init__(
+        self,
+        view: FleetView,
+        settings: Settings,
+        platform: Platform,
+        peers: PeerClient,
+        on_change: Listener,
+    ) -> None:
+        """Calls `on_change` after every adopted revision."""
+        self._view = view
+        self._settings = settings
+        self._platform = platform
+        self._peers = peers
+        self._on_change = on_change
+        self._parts = PartStore()
+        self._bundle = PublishedText(0, '{"services": {}}')
+        self._random = random.Random()  # noqa: S311 - no secret depends on it
+        self._wants_history = True
+        self._adopting = asyncio.Lock()
+
+    def register(self, router: PeerRouter) -> None:
+        """Answers peers' questions for news and parts."""
+        router.register('news', NewsQuestion, self._answer_news)
+        router.register('parts', PartsQuestion, self._answer_parts)
+
+    def want_history(self) -> None:
+        """Asks peers for earlier VM lists in the next round."""
+        self._wants_history = True
+
+    async def run_platform_watch(self, name: str) -> None:
+        """Reads one published value again and again, for ever."""
+        while True:
+            is_watcher = self._is_watcher()
+            outcome = await self._platform.read(
+                name,
+                self._held_revision(name),
+                self._settings.platform_wait_seconds if is_watcher else 0,
+            )
+            if isinstance(outcome, PlatformAway):
+                log_event('warning', 'platform-away', detail=outcome.detail)
+                await asyncio.sleep(_AWAY_PAUSE_SECONDS)
+                continue
+            if not isinstance(outcome, NoNewer):
+                published = PublishedText(outcome.revision, outcome.text)
+                await self._adopt(name, published, from_vm=None)
+            if not is_watcher:
+                await asyncio.sleep(_OCCASIONAL_READ_SECONDS)
+
+    async def run_gossip(self) -> None:
+        """Asks a few peers for news on every interval, for ever."""
+        interval = self._settings.gossip_interval_ms / 1000
+        while True:
+            chosen = self._view.freshness.choose_peers(
+                self._random,
+                self._view.placement,
+                _PEERS_A_ROUND,
+            )
+            await asyncio.gather(*(self._ask_news(vm) for vm in chosen))
+            await asyncio.sleep(interval)
+
+    def _is_watcher(self) -> bool:
+        watchers = self._view.placement.ranked('platform-watch')
+        first = watchers[: self._settings.platform_watchers]
+        return not first or self._view.vm in first
+
+    def _held_revision(self, name: str) -> int:
+        if name == 'vms':
+            return self._view.vm_list.revision
+        return self._bundle.revision
+
+    async def _ask_news(self, vm: str) -> None:
+        asked_at = now()
+        reply = await self._peers.ask(
+            vm,
+            'news',
+            NewsQuestion(
+                self._view.vm_list.revision,
+                self._bundle.revision,
+                self._wants_history,
+            ),
+            NewsReply,
+            _PEER_TIMEOUT_SECONDS,
+        )
+        if isinstance(reply, PeerSilent):
+            return
+        self._view.freshness.heard(vm, asked_at, reply.heard, now())
+        if reply.history:
+            self._wants_history = False
+        for published in reply.history:
+            self._view.remember_list(published)
+        if reply.vm_list is not None:
+            await self._adopt('vms', reply.vm_list, from_vm=vm)
+        if reply.bundle is not None:
+            await self._adopt('bundle', reply.bundle, from_vm=vm)
+
+    async def _adopt(
+        self,
+        name: str,
+        published: PublishedText,
+        from_vm: str | None,
+    ) -> None:
+        # Two sources may offer the same revision at once; the lock makes the
+        # second one see that it is no longer newer.
+        async with self._adopting:
+            if published.revision <= self._held_revision(name):
+                return
+            if name == 'vms':
+                self._adopt_list(published)
+            else:
+                await self._adopt_bundle(published, from_vm)
+
+    def _adopt_list(self, published: PublishedText) -> None:
+        vm_list = load_vm_list(published.text, published.revision, 'vms')
+        if isinstance(vm_list, Faults):
+            log_event(
+                'error',
+                'vm-list-refused',
+                revision=published.revision,
+                detail=str(vm_list.faults[0]),
+            )
+            return
+        if self._view.adopt_list(vm_list, published.text):
+            log_event('info', 'vm-list-adopted', revision=published.revision)
+            self._on_change()
+
+    async def _adopt_bundle(
+        self,
+        published: PublishedText,
+        from_vm: str | None,
+    ) -> None:
+        assembled = self._parts.assemble(published)
+        if isinstance(assembled, MissingParts):
+            await self._fetch_parts(assembled.digests, from_vm)
+            assembled = self._parts.assemble(published)
+        if isinstance(assembled, MissingParts):
+            log_event('warning', 'bundle-parts-missing', count=len(
+                assembled.digests,
+            ), revision=published.revision)
+            return
+        if isinstance(assembled, UnusableBundle):
+            log_event(
+                'error',
+                'bundle-refused',
+                revision=published.revision,
+                detail=assembled.detail,
+            )
+            return
+        if self._view.adopt_configuration(assembled, now()):
+            self._bundle = published
+            self._parts.keep_only(published)
+            log_event('info', 'bundle-adopted', revision=published.revision)
+            self._on_change()
+
+    async def _fetch_parts(
+        self,
+        digests: tuple[str, ...],
+        from_vm: str | None,
+    ) -> None:
+        if from_vm is not None:
+            reply = await self._peers.ask(
+                from_vm,
+                'parts',
+                PartsQuestion(digests),
+                PartsReply,
+                _PEER_TIMEOUT_SECONDS,
+            )
+            texts = () if isinstance(reply, PeerSilent) else reply.texts
+            for text in texts:
+                self._parts.add(text)
+            return
+        for digest in digests:
+            outcome = await self._platform.read(f'part-{digest}', 0, 0)
+            if not isinstance(outcome, NoNewer | PlatformAway):
+                self._parts.add(outcome.text)
+
+    async def _answer_news(
+        self,
+        sender: str,
+        question: NewsQuestion,
+    ) -> NewsReply:
+        view = self._view
+        vm_list = view.list_history[-1] if view.list_history else None
+        has_newer_list = view.vm_list.revision > question.list_revision
+        has_newer_bundle = (
+            self._bundle.revision > question.configuration_revision
+        )
+        return NewsReply(
+            vm_list=vm_list if has_newer_list else None,
+            bundle=self._bundle if has_newer_bundle else None,
+            history=view.list_history if question.wants_history else (),
+            heard=view.freshness.ages(now()),
+        )
+
+    async def _answer_parts(
+        self,
+        sender: str,
+        question: PartsQuestion,
+    ) -> PartsReply:
+        return PartsReply(self._parts.texts(question.digests))
+
+
+def placements_of(view: FleetView) -> tuple[Placement, ...]:
+    """Returns the placements of all known earlier lists, oldest first."""
+    placements: list[Placement] = []
+    for published in view.list_history:
+        vm_list = load_vm_list(published.text, published.revision, 'vms')
+        if not isinstance(vm_list, Faults):
+            placements.append(Placement.from_vm_list(vm_list, view.terms))
+    return tuple(placements)
--- /dev/null
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/operators.py
@@ -0,0 +1,122 @@
+"""The operators' port: liveness, readiness, status and metrics."""
+
+from collections.abc import Callable
+from typing import Final
+
+from jacinthcroft_daemon.internal.fleet.view import FleetView
+from jacinthcroft_daemon.internal.pipeline.reporting import RequestReporter
+from jacinthcroft_daemon.internal.sharing.coordination import (
+    CoordinationService,
+)
+from jacinthcroft_daemon.internal.sharing.held_cells import HeldCells
+from jacinthcroft_daemon.internal.sharing.permits import PermitService
+from jacinthcroft_http import IncomingRequest, Response, now
+
+_OK: Final = 200
+_NOT_FOUND: Final = 404
+_UNAVAILABLE: Final = 503
+
+Answerer = Callable[['OperatorPort', IncomingRequest], Response]
+_ANSWERERS: dict[str, Answerer] = {}
+
+
+def operator_path(path: str) -> Callable[[Answerer], Answerer]:
+    """Registers the answerer of one path."""
+
+    def register(answerer: Answerer) -> Answerer:  # noqa: WPS430
+        _ANSWERERS[path] = answerer
+        return answerer
+
+    return register
+
+
+class OperatorPort:
+    """Answers operators and the platform's balancer; it changes nothing."""
+
+    def __init__(
+        self,
+        view: FleetView,
+        coordination: CoordinationService,
+        cells: HeldCells,
+        permits: PermitService,
+        reporter: RequestReporter,
+    ) -> None:
+        """Reads the state of the VM's services."""
+        self.view = view
+        self.coordination = coordination
+        self.cells = cells
+        self.permits = permits
+        self.reporter = reporter
+        self.is_draining = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should be sent here."""
+        view = self.view
+        is_zone_in = view.zone not in view.vm_list.zones_out
+        is_configured = view.configuration.revision > 0
+        return (
+            is_configured
+            and is_zone_in
+            and not self.is_draining
+            and view.is_fresh(now())
+            and self.coordination.is_leased_out
+        )
+
+    async def handle(self, request: IncomingRequest) -> Response:
+        """Returns the answer for one path."""
+        answerer = _ANSWERERS.get(request.path)
+        if answerer is None:
+            return Response.text(_NOT_FOUND, 'unknown path\n')
+        return answerer(self, request)
+
+
+@operator_path('/livez')
+def _livez(port: OperatorPort, request: IncomingRequest) -> Response:
+    return Response.text(_OK, 'live\n')
+
+
+@operator_path('/readyz')
+def _readyz(port: OperatorPort, request: IncomingRequest) -> Response:
+    if port.is_ready:
+        return Response.text(_OK, 'ready\n')
+    return Response.text(_UNAVAILABLE, 'not ready\n')
+
+
+@operator_path('/status')
+def _status(port: OperatorPort, request: IncomingRequest) -> Response:
+    view = port.view
+    return Response.json(_OK, {
+        'vm': view.vm,
+        'zone': view.zone,
+        'state': 'leaving' if port.is_draining else 'live',
+        'list_revision': view.vm_list.revision,
+        'configuration_revision': view.configuration.revision,
+        'configuration_age_seconds': round(now() - view.configured_at, 1),
+        'is_fresh': view.is_fresh(now()),
+        'leases': port.coordination.held_count,
+        'permits': port.permits.running,
+        'teams': [
+            {
+                'service': count.service,
+                'team': count.team,
+                'answered': count.answered,
+                'refused': count.refused,
+            }
+            for count in port.reporter.team_counts
+        ],
+        'targets': [
+            {
+                'service': service,
+                'target': target.name,
+                'state': target.state,
+                'running': target.running,
+                'allowed': target.allowed,
+            }
+            for service, target in port.cells.target_views
+        ],
+        'refusals': [
+            {'reason': reason, 'count': count}
+            for reason, count in port.reporter.reason_counts
+        ],
+    })
--- /dev/null
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/peers/__init__.py
@@ -0,0 +1,19 @@
+"""Signed questions and replies between the VMs of the fleet."""
+
+from jacinthcroft_daemon.internal.peers.client import PeerClient, PeerSilent
+from jacinthcroft_daemon.internal.peers.codec import (
+    decode_message,
+    encode_message,
+)
+from jacinthcroft_daemon.internal.peers.router import PeerRouter
+from jacinthcroft_daemon.internal.peers.signing import Envelope, Signer
+
+__all__ = (
+    'Envelope',
+    'PeerClient',
+    'PeerRouter',
+    'PeerSilent',
+    'Signer',
+    'decode_message',
+    'encode_message',
+)
--- /dev/null
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/attempt.py
@@ -0,0 +1,245 @@
+"""One attempt: a request to the target that a permit names."""
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from typing import Final
+
+from attrs import frozen
+
+from jacinthcroft_daemon.internal.pipeline.admission import Admission, Work
+from jacinthcroft_daemon.internal.pipeline.bodies import RequestBody
+from jacinthcroft_daemon.internal.sharing.permits import PermitService
+from jacinthcroft_decisions.traffic import HeldPermit, RunOutcome, SpentToken
+from jacinthcroft_http import (
+    Answer,
+    ConnectionPool,
+    Headers,
+    IncomingRequest,
+    Interrupted,
+    NothingSent,
+    OutgoingRequest,
+    now,
+    strip_hop_by_hop,
+)
+
+_SERVER_ERROR: Final = 500
+_UNAVAILABLE: Final = 503
+_OWN_ANSWER_HEADERS: Final = (
+    'x-boot-id',
+    'x-draining',
+    'x-shed',
+    'x-request-id',
+)
+_OWN_REQUEST_HEADERS: Final = (
+    'authorization',
+    'host',
+    'x-team',
+    'x-request-id',
+    'deadline-ms',
+    'expect',
+)
+
+
+@dataclass(frozen=True)
+class Delivered:
+    """The target's answer to this very request; the body is not read yet."""
+
+    status: int
+    headers: Headers
+    body: AsyncIterator[bytes]
+
+
+@dataclass(frozen=True)
+class NotSent:
+    """Provably nothing left this VM, or the target proved it ran nothing."""
+
+    detail: str
+
+
+@dataclass(frozen=True)
+class Lost:
+    """The request may have run; its answer is lost."""
+
+    target: str
+    outcome: RunOutcome
+    detail: str
+
+
+AttemptOutcome = Delivered | NotSent | Lost
+
+
+@frozen
+class Ticket:
+    """What an attempt spends: a permit and, on keyed routes, a token."""
+
+    permit: HeldPermit
+    token: SpentToken | None
+
+
+class Attempts:
+    """Sends attempts and reports how each ended."""
+
+    def __init__(
+        self,
+        admission: Admission,
+        permits: PermitService,
+        pool: ConnectionPool,
+    ) -> None:
+        """Checks with `admission` once more before the first byte."""
+        self._admission = admission
+        self._permits = permits
+        self._pool = pool
+
+    async def send(  # noqa: WPS211 - an attempt is made of these
+        self,
+        work: Work,
+        request: IncomingRequest,
+        body: RequestBody,
+        ticket: Ticket,
+        timeout: float,
+    ) -> AttemptOutcome:
+        """Sends the request once and returns how it went."""
+        started_at = now()
+        outgoing = _outgoing(work, request, body, ticket)
+        try:
+            outcome = await self._pool.send(
+                outgoing,
+                timeout,
+                lambda: self._may_send(work, ticket),
+            )
+        except BaseException:
+            # Cancelled: the caller has gone, and the pool has closed the
+            # connection, which passes the cancellation on.
+            self._finish(ticket, RunOutcome.CANCELLED, started_at)
+            raise
+        if isinstance(outcome, NothingSent):
+            return self._not_sent(outcome, ticket, started_at)
+        if isinstance(outcome, Interrupted):
+            return self._lost(outcome, ticket, started_at)
+        return self._interpret(work, outcome, ticket, started_at)
+
+    def _may_send(self, work: Work, ticket: Ticket) -> bool:
+        moment = now()
+        token = ticket.token
+        return (
+            moment < work.deadline
+            and moment < ticket.permit.usable_until
+            and (token is None or moment < token.expires_at)
+            and self._admission.may_still_run(work)
+        )
+
+    def _not_sent(
+        self,
+        outcome: NothingSent,
+        ticket: Ticket,
+        started_at: float,
+    ) -> NotSent:
+        run_outcome = RunOutcome.CONNECT_FAILED
+        if outcome.reason == 'withheld':
+            run_outcome = RunOutcome.UNUSED
+        self._finish(ticket, run_outcome, started_at)
+        return NotSent(f'{outcome.reason}: {outcome.detail}')
+
+    def _lost(
+        self,
+        outcome: Interrupted,
+        ticket: Ticket,
+        started_at: float,
+    ) -> Lost:
+        run_outcome = RunOutcome.RESET
+        if outcome.reason == 'timeout':
+            run_outcome = RunOutcome.STALLED
+        self._finish(ticket, run_outcome, started_at)
+        return Lost(
+            ticket.permit.permit.target,
+            run_outcome,
+            f'{outcome.reason}: {outcome.detail}',
+        )
+
+    def _interpret(
+        self,
+        work: Work,
+        answer: Answer,
+        ticket: Ticket,
+        started_at: float,
+    ) -> AttemptOutcome:
+        headers = answer.headers
+        answered_id = headers.get('x-request-id')
+        if answered_id is not None and answered_id != work.request_id:
+            answer.close()
+            self._finish(ticket, RunOutcome.CROSSED, started_at)
+            return Lost(
+                ticket.permit.permit.target,
+                RunOutcome.CROSSED,
+                'the target answered another request',
+            )
+        if answer.status == _UNAVAILABLE and headers.get('x-shed') == '1':
+            answer.close()
+            self._finish(ticket, RunOutcome.SHED, started_at, answer)
+            return NotSent('the target shed the request')
+        kept = strip_hop_by_hop(headers).without(*_OWN_ANSWER_HEADERS)
+        return Delivered(
+            answer.status,
+            kept,
+            self._pass_on(answer, ticket, started_at),
+        )
+
+    async def _pass_on(
+        self,
+        answer: Answer,
+        ticket: Ticket,
+        started_at: float,
+    ) -> AsyncIterator[bytes]:
+        outcome = RunOutcome.CANCELLED
+        try:
+            async for chunk in answer.body:
+                yield chunk
+            outcome = RunOutcome.ANSWERED
+            if answer.status >= _SERVER_ERROR:
+                outcome = RunOutcome.SERVER_ERROR
+        except (ConnectionError, TimeoutError):
+            outcome = RunOutcome.RESET
+            raise
+        finally:
+            answer.close()
+            self._finish(ticket, outcome, started_at, answer)
+
+    def _finish(
+        self,
+        ticket: Ticket,
+        outcome: RunOutcome,
+        started_at: float,
+        answer: Answer | None = None,
+    ) -> None:
+        headers = Headers(()) if answer is None else answer.headers
+        self._permits.finish(
+            ticket.permit,
+            outcome,
+            now() - started_at,
+            headers.get('x-boot-id'),
+            is_draining=headers.get('x-draining') == '1',
+        )
+
+
+def _outgoing(
+    work: Work,
+    request: IncomingRequest,
+    body: RequestBody,
+    ticket: Ticket,
+) -> OutgoingRequest:
+    permit = ticket.permit.permit
+    remaining_ms = max(int((work.deadline - now()) * 1000), 1)
+    kept = strip_hop_by_hop(request.headers).without(*_OWN_REQUEST_HEADERS)
+    return OutgoingRequest(
+        host=permit.address_host,
+        port=permit.address_port,
+        method=request.method,
+        target=request.target,
+        headers=kept.with_added(
+            ('host', f'{permit.address_host}:{permit.address_port}'),
+            ('x-request-id', work.request_id),
+            ('x-team', work.team_name),
+            ('deadline-ms', str(remaining_ms)),
+        ),
+        body=body.stream(),
+    )
--- /dev/null
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/bodies.py
@@ -0,0 +1,56 @@
+"""Request bodies: small ones are held, so that they can be sent again."""
+
+import hashlib
+from collections.abc import AsyncIterator
+from typing import Final
+
+from attrs import frozen
+
+from jacinthcroft_http import IncomingRequest
+
+# Larger bodies are streamed and their requests are not sent a second time.
+HELD_BODY_BYTES: Final = 65_536
+
+
+@frozen
+class RequestBody:
+    """The held beginning of a body, and the rest where there is more."""
+
+    held: bytes
+    rest: AsyncIterator[bytes] | None
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether the body can be sent to a second target."""
+        return self.rest is None
+
+    @property
+    def digest(self) -> str:
+        """The SHA-256 digest of the held bytes, for the fingerprint."""
+        return hashlib.sha256(self.held).hexdigest()
+
+    def stream(self) -> bytes | AsyncIterator[bytes] | None:
+        """Returns what to send."""
+        if self.rest is None:
+            return self.held or None
+        return _chain(self.held, self.rest)
+
+
+async def hold_body(request: IncomingRequest) -> RequestBody:
+    """Reads the body's beginning, up to what is held."""
+    held = bytearray()
+    chunks = aiter(request.body)
+    async for chunk in chunks:
+        held.extend(chunk)
+        if len(held) > HELD_BODY_BYTES:
+            return RequestBody(bytes(held), chunks)
+    return RequestBody(bytes(held), None)
+
+
+async def _chain(
+    held: bytes,
+    rest: AsyncIterator[bytes],
+) -> AsyncIterator[bytes]:
+    yield held
+    async for chunk in rest:
+        yield chunk
--- /dev/null
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/callers.py
@@ -0,0 +1,130 @@
+"""The callers' port: one request in, its whole answer or a refusal out."""
+
+import secrets
+from typing import Final
+
+from jacinthcroft_config import Settings
+from jacinthcroft_daemon.internal.pipeline.admission import Admission, Work
+from jacinthcroft_daemon.internal.pipeline.bodies import hold_body
+from jacinthcroft_daemon.internal.pipeline.once import OnceRunner
+from jacinthcroft_daemon.internal.pipeline.refusals import (
+    Outcome,
+    Reason,
+    Refusal,
+    refusal_response,
+)
+from jacinthcroft_daemon.internal.pipeline.reporting import RequestReporter
+from jacinthcroft_daemon.internal.pipeline.runner import Finished, Runner
+from jacinthcroft_daemon.internal.sharing.quarantine import QuarantineService
+from jacinthcroft_decisions.traffic import fingerprint
+from jacinthcroft_http import BadRequest, Headers, IncomingRequest, Response
+
+_REQUEST_ID_BYTES: Final = 8
+_RETRY_SOON_SECONDS: Final = 1.0
+_REASON_BY_NAME = {reason.value: reason for reason in Reason}
+
+
+class CallerPort:
+    """Handles callers' requests."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        admission: Admission,
+        quarantine: QuarantineService,
+        runner: Runner,
+        once: OnceRunner,
+        reporter: RequestReporter,
+    ) -> None:
+        """Puts the stages of the request path together."""
+        self._vm = settings.vm
+        self._limit = settings.queue_limit
+        self._admission = admission
+        self._quarantine = quarantine
+        self._runner = runner
+        self._once = once
+        self._reporter = reporter
+        self._running = 0
+
+    async def handle(self, request: IncomingRequest) -> Response:
+        """Returns the answer to one request."""
+        request_id = f'{self._vm}-{secrets.token_hex(_REQUEST_ID_BYTES)}'
+        work = self._admission.admit(request, request_id)
+        if isinstance(work, Refusal):
+            return self._refuse(request_id, work, None)
+        if self._running >= self._limit:
+            return self._refuse(request_id, _overloaded(work), work)
+        self._running += 1
+        try:
+            finished = await self._run(work, request)
+        finally:
+            self._running -= 1
+        if isinstance(finished, Refusal):
+            return self._refuse(request_id, finished, work)
+        self._reporter.answered(work, finished.status, request.received_at)
+        return _response(finished, request_id)
+
+    def refuse_unreadable(self, bad_request: BadRequest) -> Response:
+        """Returns the refusal of what is no HTTP request."""
+        request_id = f'{self._vm}-{secrets.token_hex(_REQUEST_ID_BYTES)}'
+        reason = _REASON_BY_NAME.get(
+            bad_request.reason,
+            Reason.MALFORMED_REQUEST,
+        )
+        refusal = Refusal(reason, Outcome.NOT_RUN, bad_request.detail)
+        return self._refuse(request_id, refusal, None)
+
+    async def _run(
+        self,
+        work: Work,
+        request: IncomingRequest,
+    ) -> Finished | Refusal:
+        body = await hold_body(request)
+        mark = fingerprint(
+            request.method,
+            request.target,
+            work.team_name,
+            body.digest,
+        )
+        if work.route.is_idempotent:
+            if self._quarantine.is_quarantined(mark):
+                return _quarantined(Outcome.NOT_RUN)
+            return await self._runner.run(work, request, body, mark)
+        if self._quarantine.is_quarantined(mark):
+            return _quarantined(Outcome.UNKNOWN)
+        return await self._once.run(work, request, body, mark)
+
+    def _refuse(
+        self,
+        request_id: str,
+        refusal: Refusal,
+        work: Work | None,
+    ) -> Response:
+        self._reporter.refused(request_id, refusal, work)
+        return refusal_response(refusal, request_id)
+
+
+def _response(finished: Finished, request_id: str) -> Response:
+    pairs = (*finished.headers, ('x-request-id', request_id))
+    return Response(
+        status=finished.status,
+        headers=Headers(pairs),
+        body=finished.body,
+    )
+
+
+def _overloaded(work: Work) -> Refusal:
+    return Refusal(
+        Reason.OVERLOADED,
+        Outcome.NOT_RUN if work.route.is_idempotent else Outcome.UNKNOWN,
+        'this VM runs as many requests as it bears',
+        _RETRY_SOON_SECONDS,
+    )
+
+
+def _quarantined(outcome: Outcome) -> Refusal:
+    return Refusal(
+        Reason.QUARANTINED,
+        outcome,
+        'this request has cost several targets',
+    )
--- /dev/null
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/once.py
@@ -0,0 +1,145 @@
+"""Non-idempotent work: claimed first, dispatched at most once, recorded."""
+
+import asyncio
+import base64
+from collections.abc import AsyncIterator
+from typing import Final
+
+from jacinthcroft_daemon.internal.pipeline.admission import Work
+from jacinthcroft_daemon.internal.pipeline.bodies import RequestBody
+from jacinthcroft_daemon.internal.pipeline.refusals import (
+    Outcome,
+    Reason,
+    Refusal,
+)
+from jacinthcroft_daemon.internal.pipeline.runner import Finished, Runner
+from jacinthcroft_daemon.internal.sharing.claims import ClaimService
+from jacinthcroft_decisions.coordination import (
+    AnswerHeader,
+    Claim,
+    ClaimAnswered,
+    ClaimGranted,
+    ClaimRunning,
+    ClaimUnavailable,
+    ClaimVerdict,
+    RecordedAnswer,
+)
+from jacinthcroft_http import IncomingRequest
+
+# Answers up to this size are kept for resends.
+RECORDED_ANSWER_BYTES: Final = 65_536
+_RETRY_SOON_SECONDS: Final = 1.0
+
+
+class OnceRunner:
+    """Runs work that must not repeat."""
+
+    def __init__(self, claims: ClaimService, runner: Runner) -> None:
+        """Claims through `claims`, then runs through `runner`."""
+        self._claims = claims
+        self._runner = runner
+        self._running: set[asyncio.Task[Finished | Refusal]] = set()
+
+    async def run(
+        self,
+        work: Work,
+        request: IncomingRequest,
+        body: RequestBody,
+        fingerprint: str,
+    ) -> Finished | Refusal:
+        """Returns the answer, the recorded answer or a refusal.
+
+        Once claimed, the work goes on when its caller leaves, so that the
+        answer is recorded and a resend finds it.
+        """
+        running = asyncio.create_task(
+            self._run_claimed(work, request, body, fingerprint),
+        )
+        self._running.add(running)
+        running.add_done_callback(self._running.discard)
+        return await asyncio.shield(running)
+
+    async def finish(self) -> None:
+        """Waits until no claimed work runs any more."""
+        while self._running:
+            await asyncio.wait(self._running)
+        await self._claims.finish_settling()
+
+    async def _run_claimed(
+        self,
+        work: Work,
+        request: IncomingRequest,
+        body: RequestBody,
+        fingerprint: str,
+    ) -> Finished | Refusal:
+        claim, verdict = await self._claims.claim(work.claimed_thing)
+        if not isinstance(verdict, ClaimGranted):
+            return _without_claim(verdict)
+        finished = await self._runner.run(work, request, body, fingerprint)
+        if isinstance(finished, Refusal):
+            if finished.outcome is Outcome.NOT_RUN:
+                self._claims.settle_released(claim)
+            return finished
+        return await self._recorded(claim, finished)
+
+    async def _recorded(self, claim: Claim, finished: Finished) -> Finished:
+        held = bytearray()
+        chunks = aiter(finished.body)
+        async for chunk in chunks:
+            held.extend(chunk)
+            if len(held) > RECORDED_ANSWER_BYTES:
+                rest = _chain(bytes(held), chunks)
+                return Finished(finished.status, finished.headers, rest)
+        self._claims.settle_answered(
+            claim,
+            RecordedAnswer(
+                finished.status,
+                tuple(AnswerHeader(*pair) for pair in finished.headers),
+                base64.b64encode(held).decode(),
+            ),
+        )
+        return Finished(finished.status, finished.headers, _whole(bytes(held)))
+
+
+def _without_claim(verdict: ClaimVerdict) -> Finished | Refusal:
+    if isinstance(verdict, ClaimAnswered):
+        answer = verdict.answer
+        headers = tuple((one.name, one.text) for one in answer.headers)
+        return Finished(
+            answer.status,
+            (*headers, ('idempotency-replayed', 'true')),
+            _whole(base64.b64decode(answer.body_base64)),
+        )
+    if isinstance(verdict, ClaimRunning):
+        return Refusal(
+            Reason.ALREADY_RUNNING,
+            Outcome.UNKNOWN,
+            'an earlier sending of this key is running',
+            _RETRY_SOON_SECONDS,
+        )
+    if isinstance(verdict, ClaimUnavailable):
+        is_certain = verdict.is_not_run_certain
+        return Refusal(
+            Reason.NO_WITNESSES,
+            Outcome.NOT_RUN if is_certain else Outcome.UNKNOWN,
+            "too few of the key's witnesses answered; send the same key again",
+            _RETRY_SOON_SECONDS,
+        )
+    return Refusal(
+        Reason.OUTCOME_UNKNOWN,
+        Outcome.UNKNOWN,
+        'an earlier sending of this key may have run and its answer is lost',
+    )
+
+
+async def _whole(body: bytes) -> AsyncIterator[bytes]:
+    yield body
+
+
+async def _chain(
+    held: bytes,
+    rest: AsyncIterator[bytes],
+) -> AsyncIterator[bytes]:
+    yield held
+    async for chunk in rest:
+        yield chunk
--- /dev/null
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/runner.py
@@ -0,0 +1,231 @@
+"""Runs admitted work: token, permit, attempt, and another try where allowed.
+
+A second attempt is made only where the first provably ran nothing, or where
+the route is idempotent, and only within the deadline and the retry budget.
+"""
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from typing import Final
+
+from jacinthcroft_daemon.internal.pipeline.admission import Work
+from jacinthcroft_daemon.internal.pipeline.attempt import (
+    Attempts,
+    Delivered,
+    Lost,
+    NotSent,
+    Ticket,
+)
+from jacinthcroft_daemon.internal.pipeline.bodies import RequestBody
+from jacinthcroft_daemon.internal.pipeline.refusals import (
+    Outcome,
+    Reason,
+    Refusal,
+)
+from jacinthcroft_daemon.internal.sharing.permits import NoPermit, PermitService
+from jacinthcroft_daemon.internal.sharing.quarantine import QuarantineService
+from jacinthcroft_daemon.internal.sharing.tokens import NoToken, TokenService
+from jacinthcroft_decisions.traffic import (
+    HeldPermit,
+    RetryBudget,
+    RunOutcome,
+    SpentToken,
+)
+from jacinthcroft_http import IncomingRequest, now
+
+MAX_ATTEMPTS: Final = 3
+# A request waits this long for a token before its rate counts as exceeded;
+# it evens out the moments between two grants.
+TOKEN_PATIENCE_SECONDS: Final = 0.25
+# The first attempt of an idempotent request may use this share of the time
+# that is left, so that a stalling target leaves room for a second one.
+_FIRST_ATTEMPT_SHARE: Final = 0.5
+_SERVER_ERROR: Final = 500
+
+
+@dataclass(frozen=True)
+class Finished:
+    """The work's own answer, from its target."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: AsyncIterator[bytes]
+
+
+class Runner:
+    """Carries work through its attempts."""
+
+    def __init__(
+        self,
+        tokens: TokenService,
+        permits: PermitService,
+        attempts: Attempts,
+        quarantine: QuarantineService,
+    ) -> None:
+        """Shares one retry budget per service among all requests."""
+        self._tokens = tokens
+        self._permits = permits
+        self._attempts = attempts
+        self._quarantine = quarantine
+        self._budgets: dict[str, RetryBudget] = {}
+
+    async def run(
+        self,
+        work: Work,
+        request: IncomingRequest,
+        body: RequestBody,
+        fingerprint: str,
+    ) -> Finished | Refusal:
+        """Returns the answer or an honest refusal."""
+        budget = self._budget(work.service.name)
+        budget.note_request(now())
+        may_have_run = False
+        refusal = _refused(work, Reason.DEADLINE_EXCEEDED, 'no time was left')
+        for attempt in range(MAX_ATTEMPTS):
+            ticket = await self._acquire(work)
+            if isinstance(ticket, Refusal):
+                return _with_truth(ticket, may_have_run)
+            outcome = await self._attempts.send(
+                work,
+                request,
+                body,
+                ticket,
+                _attempt_timeout(work, attempt),
+            )
+            if isinstance(outcome, Delivered):
+                return Finished(
+                    outcome.status,
+                    outcome.headers.pairs,
+                    outcome.body,
+                )
+            if isinstance(outcome, Lost):
+                may_have_run = True
+                refusal = await self._after_loss(work, outcome, fingerprint)
+            else:
+                refusal = _refused(work, Reason.TARGET_FAILED, outcome.detail)
+            if not self._may_retry(work, body, outcome, refusal, budget):
+                break
+        return _with_truth(refusal, may_have_run)
+
+    async def _acquire(self, work: Work) -> Ticket | Refusal:
+        token = await self._acquire_token(work)
+        if isinstance(token, Refusal):
+            return token
+        permit = await self._acquire_permit(work)
+        if isinstance(permit, Refusal):
+            self._put_back(work, token)
+            return permit
+        if token is not None and token.expires_at <= now():
+            # The wait for the permit outlasted the token.
+            token = await self._acquire_token(work)
+            if isinstance(token, Refusal):
+                self._permits.finish(permit, RunOutcome.UNUSED, 0)
+                return token
+        return Ticket(permit, token)
+
+    async def _acquire_token(self, work: Work) -> SpentToken | None | Refusal:
+        if work.team is None:
+            return None
+        patience_until = min(work.deadline, now() + TOKEN_PATIENCE_SECONDS)
+        token = await self._tokens.acquire(
+            work.service,
+            work.team,
+            patience_until,
+        )
+        if not isinstance(token, NoToken):
+            return token
+        if token.has_holder:
+            return Refusal(
+                Reason.RATE_EXCEEDED,
+                Outcome.NOT_RUN,
+                f'team {work.team_name} has spent its rate and burst',
+                token.retry_after,
+            )
+        return Refusal(
+            Reason.NO_CAPACITY,
+            Outcome.NOT_RUN,
+            "no VM holds the team's allowance at this moment",
+            1,
+        )
+
+    async def _acquire_permit(self, work: Work) -> HeldPermit | Refusal:
+        permit = await self._permits.acquire(
+            work.service,
+            work.team_name,
+            work.route.request_class,
+            work.deadline,
+        )
+        if not isinstance(permit, NoPermit):
+            return permit
+        return Refusal(
+            Reason.NO_CAPACITY,
+            Outcome.NOT_RUN,
+            f'no target of {work.service.name} had room in time',
+            1,
+        )
+
+    def _put_back(self, work: Work, token: SpentToken | None) -> None:
+        if token is not None and work.team is not None:
+            self._tokens.put_back(work.service, work.team, token)
+
+    async def _after_loss(
+        self,
+        work: Work,
+        lost: Lost,
+        fingerprint: str,
+    ) -> Refusal:
+        if lost.outcome is RunOutcome.STALLED:
+            return _refused(work, Reason.DEADLINE_EXCEEDED, lost.detail)
+        if lost.outcome is RunOutcome.RESET:
+            if await self._quarantine.strike(fingerprint, lost.target):
+                return _refused(
+                    work,
+                    Reason.QUARANTINED,
+                    'this request has cost several targets',
+                )
+        return _refused(work, Reason.TARGET_FAILED, lost.detail)
+
+    def _may_retry(
+        self,
+        work: Work,
+        body: RequestBody,
+        outcome: NotSent | Lost,
+        refusal: Refusal,
+        budget: RetryBudget,
+    ) -> bool:
+        if isinstance(outcome, Lost) and not work.route.is_idempotent:
+            return False
+        if not body.is_repeatable or now() >= work.deadline:
+            return False
+        if refusal.reason is Reason.QUARANTINED:
+            return False
+        return budget.may_retry(now())
+
+    def _budget(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = RetryBudget()
+            self._budgets[service] = budget
+        return budget
+
+
+def _attempt_timeout(work: Work, attempt: int) -> float:
+    remaining = max(work.deadline - now(), 0)
+    if work.route.is_idempotent and attempt == 0:
+        return remaining * _FIRST_ATTEMPT_SHARE
+    return remaining
+
+
+def _refused(work: Work, reason: Reason, detail: str) -> Refusal:
+    return Refusal(reason, Outcome.NOT_RUN, f'{work.service.name}: {detail}')
+
+
+def _with_truth(refusal: Refusal, may_have_run: bool) -> Refusal:
+    if not may_have_run:
+        return refusal
+    return Refusal(
+        refusal.reason,
+        Outcome.UNKNOWN,
+        refusal.detail,
+        refusal.retry_after,
+    )
--- /dev/null
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/platform/__init__.py
@@ -0,0 +1,19 @@
+"""The platform behind one small adapter."""
+
+from jacinthcroft_daemon.internal.platform.adapter import (
+    NoNewer,
+    Platform,
+    PlatformAway,
+    PlatformValue,
+    connect_platform,
+)
+from jacinthcroft_daemon.internal.platform.http_adapter import HttpPlatform
+
+__all__ = (
+    'HttpPlatform',
+    'NoNewer',
+    'Platform',
+    'PlatformAway',
+    'PlatformValue',
+    'connect_platform',
+)
--- /dev/null
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/platform/http_adapter.py
@@ -0,0 +1,74 @@
+"""Reads the platform's values over HTTP with JSON."""
+
+import json
+from urllib.parse import quote
+
+from jacinthcroft_config import Address
+from jacinthcroft_daemon.internal.platform.adapter import (
+    NoNewer,
+    PlatformAway,
+    PlatformValue,
+    ReadOutcome,
+    platform_adapter,
+)
+from jacinthcroft_http import (
+    Answer,
+    ConnectionPool,
+    Headers,
+    OutgoingRequest,
+    PoolLimits,
+)
+
+_NOT_MODIFIED = 304
+_OK = 200
+# Published values hold up to a megabyte; JSON escapes may double that.
+_VALUE_LIMIT_BYTES = 2_500_000
+# What the platform may take beyond the wait that it was asked for.
+_GRACE_SECONDS = 2.0
+
+
+@platform_adapter('http')
+class HttpPlatform:
+    """Speaks the read-and-watch protocol that docs/DESIGN.md gives."""
+
+    def __init__(self, address: Address, reader: str) -> None:
+        """Prepares to read from `address` in the name of VM `reader`."""
+        self._address = address
+        self._reader = reader
+        self._pool = ConnectionPool.from_limits(PoolLimits())
+
+    async def read(
+        self,
+        name: str,
+        after: int,
+        wait_seconds: float,
+    ) -> ReadOutcome:
+        """Returns a value newer than `after`, waiting for one if told to."""
+        query = f'reader={self._reader}&after={after}&wait={wait_seconds}'
+        request = OutgoingRequest(
+            host=self._address.host,
+            port=self._address.port,
+            method='GET',
+            target=f'/v1/values/{quote(name)}?{query}',
+            headers=Headers((('host', str(self._address)),)),
+            body=None,
+        )
+        outcome = await self._pool.send(request, wait_seconds + _GRACE_SECONDS)
+        if not isinstance(outcome, Answer):
+            return PlatformAway(outcome.detail)
+        return await _interpret(name, outcome)
+
+
+async def _interpret(name: str, answer: Answer) -> ReadOutcome:
+    body = await answer.read(_VALUE_LIMIT_BYTES)
+    if not isinstance(body, bytes):
+        return PlatformAway(f'{name}: the answer was cut or too large')
+    if answer.status == _NOT_MODIFIED:
+        return NoNewer()
+    if answer.status != _OK:
+        return PlatformAway(f'{name}: status {answer.status}')
+    try:
+        document = json.loads(body)
+        return PlatformValue(name, int(document['revision']), document['value'])
+    except (ValueError, KeyError, TypeError) as error:
+        return PlatformAway(f'{name}: unreadable answer: {error!r}')
--- /dev/null
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/__init__.py
@@ -0,0 +1,1 @@
+"""What the VMs share: leases, claims, tokens, permits, quarantine."""
--- /dev/null
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/coordination.py
@@ -0,0 +1,197 @@
+"""Runs this VM's part in leases and witnessing: carries the messages.
+
+All messages of one round for one VM travel in one batch, so traffic grows
+with pairs of VMs, not with shards. A reply that does not come is simply not
+received; the decisions send again in a later round.
+"""
+
+import asyncio
+import time
+from collections import defaultdict
+from collections.abc import Iterable
+from typing import Final
+
+from attrs import frozen
+
+from jacinthcroft_config import Settings
+from jacinthcroft_daemon.internal.fleet.view import FleetView
+from jacinthcroft_daemon.internal.peers import (
+    PeerClient,
+    PeerRouter,
+    PeerSilent,
+)
+from jacinthcroft_decisions.coordination import (
+    CoordinationMessage,
+    Coordinator,
+    Outgoing,
+    Placement,
+    TaggedMessage,
+    Witness,
+    tag_message,
+    untag_message,
+)
+from jacinthcroft_http import now
+
+BATCH_KIND: Final = 'coordination'
+_BATCH_TIMEOUT_SECONDS: Final = 1.0
+
+
+@frozen
+class Batch:
+    """Messages of one round to one VM, or the replies in the same order."""
+
+    messages: tuple[TaggedMessage, ...]
+
+
+class CoordinationService:
+    """Owns this VM's witness and coordinator."""
+
+    def __init__(
+        self,
+        view: FleetView,
+        settings: Settings,
+        peers: PeerClient,
+        incarnation: str,
+        started_at: float,
+    ) -> None:
+        """Starts as a new incarnation that remembers nothing."""
+        self._view = view
+        self._settings = settings
+        self._peers = peers
+        self._coordinator = Coordinator(
+            view.vm,
+            incarnation,
+            started_at,
+            view.terms,
+        )
+        self._witness = Witness(
+            view.vm,
+            incarnation,
+            started_at,
+            time.time(),
+            view.terms,
+        )
+        self._sending: set[asyncio.Task[None]] = set()
+
+    @property
+    def coordinator(self) -> Coordinator:
+        """The shards that this VM holds."""
+        return self._coordinator
+
+    @property
+    def witness(self) -> Witness:
+        """What this VM vouches for."""
+        return self._witness
+
+    def register(self, router: PeerRouter) -> None:
+        """Answers peers' batches."""
+        router.register(BATCH_KIND, Batch, self._answer_batch)
+
+    def adopt(self, earlier: tuple[Placement, ...]) -> None:
+        """Takes over the view's newest list and the earlier ones."""
+        moment = now()
+        self._coordinator.learn_history(earlier, moment)
+        self._coordinator.adopt(self._view.placement, moment)
+        self._witness.adopt(self._view.placement, moment)
+
+    async def run(self) -> None:
+        """Sends what is due on every interval, for ever."""
+        interval = self._settings.coordination_interval_ms / 1000
+        while True:
+            moment = now()
+            self._spawn(self._coordinator.tick(moment), for_witness=False)
+            self._spawn(self._witness.tick(moment), for_witness=True)
+            await asyncio.sleep(interval)
+
+    async def release(self) -> None:
+        """Gives all leases up, so that their shards move without a gap."""
+        await asyncio.gather(*(
+            self._send_batch(vm, messages, for_witness=False)
+            for vm, messages in _by_vm(
+                self._coordinator.release(now()),
+            ).items()
+        ))
+
+    async def ask_witness(
+        self,
+        outgoing: Outgoing,
+        timeout: float,
+    ) -> CoordinationMessage | None:
+        """Sends one message at once; None when no reply came."""
+        if outgoing.to == self._view.vm:
+            return self._witness.handle(outgoing.message, now(), time.time())
+        reply = await self._peers.ask(
+            outgoing.to,
+            BATCH_KIND,
+            Batch((tag_message(outgoing.message),)),
+            Batch,
+            timeout,
+        )
+        if isinstance(reply, PeerSilent) or not reply.messages:
+            return None
+        return untag_message(reply.messages[0])
+
+    def _spawn(
+        self,
+        outgoing: Iterable[Outgoing],
+        *,
+        for_witness: bool,
+    ) -> None:
+        for vm, messages in _by_vm(outgoing).items():
+            sending = asyncio.create_task(
+                self._send_batch(vm, messages, for_witness=for_witness),
+            )
+            self._sending.add(sending)
+            sending.add_done_callback(self._sending.discard)
+
+    async def _send_batch(
+        self,
+        vm: str,
+        messages: list[CoordinationMessage],
+        *,
+        for_witness: bool,
+    ) -> None:
+        sent_at = now()
+        for reply in await self._replies(vm, messages):
+            if for_witness:
+                self._witness.receive(vm, reply, now())
+            else:
+                self._coordinator.receive(vm, reply, sent_at, now())
+
+    async def _replies(
+        self,
+        vm: str,
+        messages: list[CoordinationMessage],
+    ) -> tuple[CoordinationMessage, ...]:
+        if vm == self._view.vm:
+            return tuple(
+                self._witness.handle(message, now(), time.time())
+                for message in messages
+            )
+        reply = await self._peers.ask(
+            vm,
+            BATCH_KIND,
+            Batch(tuple(tag_message(message) for message in messages)),
+            Batch,
+            _BATCH_TIMEOUT_SECONDS,
+        )
+        if isinstance(reply, PeerSilent):
+            return ()
+        return tuple(untag_message(tagged) for tagged in reply.messages)
+
+    async def _answer_batch(self, sender: str, batch: Batch) -> Batch:
+        return Batch(tuple(
+            tag_message(
+                self._witness.handle(untag_message(tagged), now(), time.time()),
+            )
+            for tagged in batch.messages
+        ))
+
+
+def _by_vm(
+    outgoing: Iterable[Outgoing],
+) -> dict[str, list[CoordinationMessage]]:
+    messages: defaultdict[str, list[CoordinationMessage]] = defaultdict(list)
+    for one in outgoing:
+        messages[one.to].append(one.message)
+    return messages
--- /dev/null
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/holders.py
@@ -0,0 +1,60 @@
+"""Finds the VM that holds a shard now, and asks it.
+
+The ranked candidates are asked in turn, beginning with the one that answered
+last; a VM that does not hold the shard says so.
+"""
+
+from typing import Final, TypeVar
+
+from attrs import frozen
+
+from jacinthcroft_daemon.internal.fleet.view import FleetView
+from jacinthcroft_daemon.internal.peers import PeerClient, PeerSilent
+
+# The holder is nearly always the first candidate, and after a failure the
+# second; further ones would only add to a request's wait.
+_TRIED_CANDIDATES: Final = 3
+
+Reply = TypeVar('Reply')
+
+
+@frozen
+class NotHolder:
+    """The asked VM does not hold the shard, and decided nothing."""
+
+    vm: str
+
+
+class HolderFinder:
+    """Remembers who held each shard when last asked."""
+
+    def __init__(self, view: FleetView, peers: PeerClient) -> None:
+        """Asks in the order of the newest placement."""
+        self._view = view
+        self._peers = peers
+        self._last: dict[int, str] = {}
+
+    def likely_holders(self, thing: str) -> tuple[str, ...]:
+        """Returns the VMs to ask, the likeliest first."""
+        shard = self._view.placement.shard_of(thing)
+        candidates = self._view.placement.candidates(shard)
+        first = candidates[:_TRIED_CANDIDATES]
+        last = self._last.get(shard)
+        if last not in first:
+            return first
+        return (last, *(vm for vm in first if vm != last))
+
+    def note_holder(self, thing: str, vm: str) -> None:
+        """Remembers who answered as the holder."""
+        self._last[self._view.placement.shard_of(thing)] = vm
+
+    async def ask(
+        self,
+        vm: str,
+        kind: str,
+        question: object,
+        reply_type: type[Reply],
+        timeout: float,
+    ) -> Reply | PeerSilent:
+        """Asks one VM."""
+        return await self._peers.ask(vm, kind, question, reply_type, timeout)
--- /dev/null
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/permits.py
@@ -0,0 +1,294 @@
+"""The asking side of dispatch permits: what this VM may dispatch now.
+
+A request takes an idle permit where there is one. Otherwise it waits for
+whichever comes first: a permit that another request has finished with, or
+the holder's answer to a question of its own.
+"""
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass
+from typing import Final
+
+from attrs import define, field
+
+from jacinthcroft_config import Service
+from jacinthcroft_daemon.internal.fleet.view import FleetView
+from jacinthcroft_daemon.internal.peers import PeerSilent
+from jacinthcroft_daemon.internal.sharing.held_cells import (
+    ASK_KIND,
+    REPORT_KIND,
+    HeldCells,
+    PermitReply,
+    ReportBatch,
+    ReportBatchReply,
+)
+from jacinthcroft_daemon.internal.sharing.holders import HolderFinder
+from jacinthcroft_decisions.traffic import (
+    HeldPermit,
+    PermitAsk,
+    PermitPurse,
+    PermitReport,
+    RunOutcome,
+)
+from jacinthcroft_http import now
+
+# A holder that freezes is noticed within this time; the next candidate may
+# have taken over by then.
+_MAX_PATIENCE_SECONDS: Final = 1.0
+_REPLY_GRACE_SECONDS: Final = 0.25
+_NO_HOLDER_PAUSE_SECONDS: Final = 0.05
+_REPORT_TIMEOUT_SECONDS: Final = 1.0
+_REPORT_TRIES: Final = 3
+_HOUSEKEEPING_SECONDS: Final = 0.1
+
+
+@dataclass(frozen=True)
+class NoPermit:
+    """No permit came in time; `reason` is for the caller's refusal."""
+
+    reason: str
+
+
+@define
+class _Question:
+    cell: str
+    team: str
+    request_class: str
+    deadline: float
+
+
+@define
+class _Waiter:
+    team: str
+    future: asyncio.Future[HeldPermit]
+
+
+@define
+class _CellDesk:
+    """What this VM holds of one cell, and who waits for it."""
+
+    purse: PermitPurse
+    waiters: deque[_Waiter] = field(factory=deque)
+    reporting: asyncio.Task[None] | None = None
+
+
+class PermitService:
+    """Acquires permits for requests and reports how they ended."""
+
+    def __init__(
+        self,
+        view: FleetView,
+        cells: HeldCells,
+        finder: HolderFinder,
+    ) -> None:
+        """Asks `cells` directly where this VM is the holder itself."""
+        self._view = view
+        self._cells = cells
+        self._finder = finder
+        self._desks: dict[str, _CellDesk] = {}
+        self._asking: set[asyncio.Task[None]] = set()
+
+    @property
+    def running(self) -> int:
+        """How many permits this VM holds, idle or in use."""
+        return sum(desk.purse.held_count for desk in self._desks.values())
+
+    async def acquire(
+        self,
+        service: Service,
+        team: str,
+        request_class: str,
+        deadline: float,
+    ) -> HeldPermit | NoPermit:
+        """Returns a permit, waiting for it until `deadline` at the most."""
+        desk = self._desk(service.name)
+        if not desk.waiters:
+            held = desk.purse.take(now())
+            if held is not None:
+                return held
+        loop = asyncio.get_running_loop()
+        waiter = _Waiter(team, loop.create_future())
+        desk.waiters.append(waiter)
+        question = _Question(service.name, team, request_class, deadline)
+        asking = asyncio.create_task(self._ask_until(question, desk, waiter))
+        self._asking.add(asking)
+        asking.add_done_callback(self._asking.discard)
+        try:
+            return await self._await_permit(waiter, asking)
+        finally:
+            self._leave_queue(service.name, desk, waiter)
+
+    def finish(
+        self,
+        held: HeldPermit,
+        outcome: RunOutcome,
+        latency: float,
+        boot_id: str | None = None,
+        *,
+        is_draining: bool = False,
+    ) -> None:
+        """Takes a permit back from a request, and tells the holder."""
+        cell = held.permit.cell
+        desk = self._desk(cell)
+        desk.purse.finish(
+            held.permit.id,
+            outcome,
+            latency,
+            boot_id,
+            is_draining,
+            bool(desk.waiters),
+            now(),
+        )
+        self._serve_waiters(desk)
+        self._report(cell, desk)
+
+    async def run(self) -> None:
+        """Lets unused permits expire and reports them, for ever."""
+        while True:
+            for cell, desk in self._desks.items():
+                desk.purse.expire(now())
+                self._report(cell, desk)
+            await asyncio.sleep(_HOUSEKEEPING_SECONDS)
+
+    def _desk(self, cell: str) -> _CellDesk:
+        desk = self._desks.get(cell)
+        if desk is None:
+            desk = _CellDesk(PermitPurse(cell, self._view.vm))
+            self._desks[cell] = desk
+        return desk
+
+    async def _await_permit(
+        self,
+        waiter: _Waiter,
+        asking: asyncio.Task[None],
+    ) -> HeldPermit | NoPermit:
+        await asyncio.wait(
+            (waiter.future, asking),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if waiter.future.done():
+            return waiter.future.result()
+        return NoPermit('no-capacity')
+
+    def _leave_queue(
+        self,
+        cell: str,
+        desk: _CellDesk,
+        waiter: _Waiter,
+    ) -> None:
+        if waiter in desk.waiters:
+            desk.waiters.remove(waiter)
+        if waiter.future.cancelled() or not waiter.future.done():
+            waiter.future.cancel()
+
+    def _serve_waiters(self, desk: _CellDesk) -> None:
+        while desk.waiters:
+            held = desk.purse.take(now())
+            if held is None:
+                return
+            desk.waiters.popleft().future.set_result(held)
+
+    async def _ask_until(
+        self,
+        question: _Question,
+        desk: _CellDesk,
+        waiter: _Waiter,
+    ) -> None:
+        while now() < question.deadline and not waiter.future.done():
+            asked_at = now()
+            reply = await self._ask_holder(question)
+            if reply.permit is not None:
+                desk.purse.add(reply.permit, asked_at, now())
+                self._serve_waiters(desk)
+                self._report(question.cell, desk)
+                if waiter.future.done():
+                    return
+            elif reply.refusal is not None:
+                return
+            else:
+                await asyncio.sleep(_NO_HOLDER_PAUSE_SECONDS)
+
+    async def _ask_holder(self, question: _Question) -> PermitReply:
+        thing = f'cell:{question.cell}'
+        for vm in self._finder.likely_holders(thing):
+            reply = await self._ask_one(vm, question)
+            if reply.permit is not None or reply.refusal is not None:
+                self._finder.note_holder(thing, vm)
+                return reply
+        return PermitReply()
+
+    async def _ask_one(self, vm: str, question: _Question) -> PermitReply:
+        patience = min(question.deadline - now(), _MAX_PATIENCE_SECONDS)
+        if patience <= 0:
+            return PermitReply()
+        ask = PermitAsk(
+            cell=question.cell,
+            vm=self._view.vm,
+            zone=self._view.zone,
+            team=question.team,
+            request_class=question.request_class,
+            patience=patience,
+        )
+        if vm == self._view.vm:
+            return await self._cells.answer_ask(vm, ask)
+        reply = await self._finder.ask(
+            vm,
+            ASK_KIND,
+            ask,
+            PermitReply,
+            patience + _REPLY_GRACE_SECONDS,
+        )
+        return PermitReply() if isinstance(reply, PeerSilent) else reply
+
+    def _report(self, cell: str, desk: _CellDesk) -> None:
+        # One batch at a time for each cell; what comes up meanwhile joins
+        # the next one.
+        if desk.reporting is not None and not desk.reporting.done():
+            return
+        reports = desk.purse.reports(now())
+        if reports:
+            desk.reporting = asyncio.create_task(
+                self._send_reports(cell, desk, reports),
+            )
+
+    async def _send_reports(
+        self,
+        cell: str,
+        desk: _CellDesk,
+        reports: tuple[PermitReport, ...],
+    ) -> None:
+        batch = ReportBatch(cell, reports)
+        for _ in range(_REPORT_TRIES):
+            sent_at = now()
+            answered = await self._send_batch(batch)
+            if answered.reply is not None:
+                desk.purse.renew(
+                    answered.reply.renewals,
+                    answered.reply.recalled,
+                    sent_at,
+                    now(),
+                )
+                break
+        further = desk.purse.reports(now())
+        if further:
+            await self._send_reports(cell, desk, further)
+
+    async def _send_batch(self, batch: ReportBatch) -> ReportBatchReply:
+        for vm in self._finder.likely_holders(f'cell:{batch.cell}'):
+            if vm == self._view.vm:
+                reply = await self._cells.answer_reports(vm, batch)
+            else:
+                asked = await self._finder.ask(
+                    vm,
+                    REPORT_KIND,
+                    batch,
+                    ReportBatchReply,
+                    _REPORT_TIMEOUT_SECONDS,
+                )
+                if isinstance(asked, PeerSilent):
+                    continue
+                reply = asked
+            if reply.reply is not None:
+                return reply
+        return ReportBatchReply(None)
--- /dev/null
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/quarantine.py
@@ -0,0 +1,138 @@
+"""Requests that crash targets: strikes, and refusing them everywhere.
+
+The fingerprint's holder counts the targets that one request has lost. Its
+verdict goes to all VMs at once, since the next resend may reach any of them.
+"""
+
+import asyncio
+from typing import Final
+
+from attrs import frozen
+
+from jacinthcroft_daemon.internal.fleet.view import FleetView
+from jacinthcroft_daemon.internal.peers import (
+    PeerClient,
+    PeerRouter,
+    PeerSilent,
+)
+from jacinthcroft_daemon.internal.sharing.coordination import (
+    CoordinationService,
+)
+from jacinthcroft_daemon.internal.sharing.holders import HolderFinder
+from jacinthcroft_daemon.internal.telemetry import log_event
+from jacinthcroft_decisions.traffic import Quarantine, QuarantineCache, Strike
+from jacinthcroft_http import now
+
+_STRIKE_KIND: Final = 'strike'
+_VERDICT_KIND: Final = 'quarantine'
+_TIMEOUT_SECONDS: Final = 0.5
+
+
+@frozen
+class StrikeReply:
+    """Whether to refuse the request; None from a VM that is not the holder."""
+
+    is_quarantined: bool | None
+
+
+@frozen
+class Verdict:
+    """A request that every VM refuses for a while."""
+
+    fingerprint: str
+
+
+@frozen
+class VerdictReply:
+    """The verdict arrived."""
+
+    vm: str
+
+
+class QuarantineService:
+    """Both sides of the quarantine at one VM."""
+
+    def __init__(
+        self,
+        view: FleetView,
+        coordination: CoordinationService,
+        finder: HolderFinder,
+        peers: PeerClient,
+    ) -> None:
+        """Counts strikes for the fingerprints whose shards this VM holds."""
+        self._view = view
+        self._coordination = coordination
+        self._finder = finder
+        self._peers = peers
+        self._quarantine = Quarantine()
+        self._cache = QuarantineCache()
+        self._telling: set[asyncio.Task[VerdictReply | PeerSilent]] = set()
+
+    def register(self, router: PeerRouter) -> None:
+        """Answers peers' strikes and verdicts."""
+        router.register(_STRIKE_KIND, Strike, self._answer_strike)
+        router.register(_VERDICT_KIND, Verdict, self._answer_verdict)
+
+    def is_quarantined(self, fingerprint: str) -> bool:
+        """Whether this VM refuses the request."""
+        return self._cache.is_quarantined(fingerprint, now())
+
+    async def strike(self, fingerprint: str, target: str) -> bool:
+        """Reports a lost target; returns whether to refuse from now on."""
+        strike = Strike(fingerprint, target)
+        for vm in self._finder.likely_holders(f'fingerprint:{fingerprint}'):
+            verdict = await self._strike_at(vm, strike)
+            if verdict is not None:
+                if verdict:
+                    self._cache.add(fingerprint, now())
+                return verdict
+        return False
+
+    async def _strike_at(self, vm: str, strike: Strike) -> bool | None:
+        if vm == self._view.vm:
+            return self._count(strike)
+        reply = await self._finder.ask(
+            vm,
+            _STRIKE_KIND,
+            strike,
+            StrikeReply,
+            _TIMEOUT_SECONDS,
+        )
+        return None if isinstance(reply, PeerSilent) else reply.is_quarantined
+
+    def _count(self, strike: Strike) -> bool | None:
+        thing = f'fingerprint:{strike.fingerprint}'
+        shard = self._view.placement.shard_of(thing)
+        if not self._coordination.coordinator.holds(shard, now()):
+            return None
+        is_new = self._quarantine.strike(strike, now())
+        if is_new:
+            log_event('warning', 'quarantined', fingerprint=strike.fingerprint)
+            self._tell_all(Verdict(strike.fingerprint))
+        return self._quarantine.is_quarantined(strike.fingerprint, now())
+
+    def _tell_all(self, verdict: Verdict) -> None:
+        self._cache.add(verdict.fingerprint, now())
+        for vm in self._view.other_vms:
+            telling = asyncio.create_task(
+                self._peers.ask(
+                    vm,
+                    _VERDICT_KIND,
+                    verdict,
+                    VerdictReply,
+                    _TIMEOUT_SECONDS,
+                ),
+            )
+            self._telling.add(telling)
+            telling.add_done_callback(self._telling.discard)
+
+    async def _answer_strike(self, sender: str, strike: Strike) -> StrikeReply:
+        return StrikeReply(self._count(strike))
+
+    async def _answer_verdict(
+        self,
+        sender: str,
+        verdict: Verdict,
+    ) -> VerdictReply:
+        self._cache.add(verdict.fingerprint, now())
+        return VerdictReply(self._view.vm)
--- /dev/null
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/tokens.py
@@ -0,0 +1,211 @@
+"""Team tokens: the ledgers this VM holds, and the tokens it may spend.
+
+A request spends a token that is already in the purse; the purse asks ahead
+by demand. Only a request that finds it empty waits for the holder.
+"""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Final
+
+from attrs import define, frozen
+
+from jacinthcroft_config import Service, Team
+from jacinthcroft_daemon.internal.fleet.view import FleetView
+from jacinthcroft_daemon.internal.peers import PeerRouter, PeerSilent
+from jacinthcroft_daemon.internal.sharing.coordination import (
+    CoordinationService,
+)
+from jacinthcroft_daemon.internal.sharing.holders import HolderFinder
+from jacinthcroft_decisions.traffic import (
+    SpentToken,
+    TeamLedger,
+    TokenAsk,
+    TokenGrant,
+    TokenPurse,
+)
+from jacinthcroft_http import now
+
+_KIND: Final = 'tokens'
+_ASK_TIMEOUT_SECONDS: Final = 0.5
+# While no VM holds the team's shard a new try is worth this pause.
+_NO_HOLDER_PAUSE_SECONDS: Final = 0.1
+_MIN_PAUSE_SECONDS: Final = 0.005
+
+
+@dataclass(frozen=True)
+class NoToken:
+    """The team may not spend now; `retry_after` is in seconds."""
+
+    retry_after: float
+    has_holder: bool
+
+
+@frozen
+class TokenReply:
+    """A grant, or None from a VM that does not hold the team's shard."""
+
+    grant: TokenGrant | None
+
+
+@define
+class _HeldLedger:
+    held_since: float
+    team: Team
+    ledger: TeamLedger
+
+
+@define
+class _Spending:
+    purse: TokenPurse
+    asking: asyncio.Task[NoToken | None] | None = None
+
+
+class TokenService:
+    """Both sides of team tokens at one VM."""
+
+    def __init__(
+        self,
+        view: FleetView,
+        coordination: CoordinationService,
+        finder: HolderFinder,
+    ) -> None:
+        """Holds ledgers under the coordination service's leases."""
+        self._view = view
+        self._coordination = coordination
+        self._finder = finder
+        self._ledgers: dict[str, _HeldLedger] = {}
+        self._spendings: dict[str, _Spending] = {}
+
+    def register(self, router: PeerRouter) -> None:
+        """Answers peers that ask for tokens."""
+        router.register(_KIND, TokenAsk, self._answer_ask)
+
+    async def acquire(
+        self,
+        service: Service,
+        team: Team,
+        patience_until: float,
+    ) -> SpentToken | NoToken:
+        """Spends one token, waiting for it until `patience_until`."""
+        team_key = f'{service.name}/{team.name}'
+        spending = self._spending(team_key)
+        spending.purse.note_demand(now())
+        while True:
+            token = spending.purse.spend(now())
+            if token is not None:
+                self._ask_ahead(team_key, spending)
+                return token
+            shortage = await asyncio.shield(self._asking(team_key, spending))
+            if shortage is None:
+                continue
+            pause = max(shortage.retry_after, _MIN_PAUSE_SECONDS)
+            if now() + pause > patience_until:
+                return shortage
+            await asyncio.sleep(pause)
+
+    def put_back(self, service: Service, team: Team, token: SpentToken) -> None:
+        """Returns a token that no request was dispatched with."""
+        spending = self._spending(f'{service.name}/{team.name}')
+        spending.purse.return_token(token)
+
+    def _spending(self, team_key: str) -> _Spending:
+        spending = self._spendings.get(team_key)
+        if spending is None:
+            spending = _Spending(TokenPurse())
+            self._spendings[team_key] = spending
+        return spending
+
+    def _ask_ahead(self, team_key: str, spending: _Spending) -> None:
+        if spending.purse.wanted(now()) > 0:
+            self._asking(team_key, spending)
+
+    def _asking(
+        self,
+        team_key: str,
+        spending: _Spending,
+    ) -> asyncio.Task[NoToken | None]:
+        # One question at a time for each team: those who wait share it.
+        if spending.asking is None or spending.asking.done():
+            spending.asking = asyncio.create_task(
+                self._ask(team_key, spending.purse),
+            )
+        return spending.asking
+
+    async def _ask(
+        self,
+        team_key: str,
+        purse: TokenPurse,
+    ) -> NoToken | None:
+        asked_at = now()
+        ask = TokenAsk(
+            team_key=team_key,
+            vm=self._view.vm,
+            wanted=max(purse.wanted(asked_at), 1),
+            demand=purse.demand(asked_at),
+        )
+        grant = await self._ask_holder(ask)
+        if grant is None:
+            return NoToken(_NO_HOLDER_PAUSE_SECONDS, has_holder=False)
+        if grant.tokens == 0:
+            return NoToken(grant.retry_after, has_holder=True)
+        purse.add(grant, asked_at, now())
+        return None
+
+    async def _ask_holder(self, ask: TokenAsk) -> TokenGrant | None:
+        thing = f'team:{ask.team_key}'
+        for vm in self._finder.likely_holders(thing):
+            if vm == self._view.vm:
+                grant = self._grant(ask)
+            else:
+                reply = await self._finder.ask(
+                    vm,
+                    _KIND,
+                    ask,
+                    TokenReply,
+                    _ASK_TIMEOUT_SECONDS,
+                )
+                grant = None if isinstance(reply, PeerSilent) else reply.grant
+            if grant is not None:
+                self._finder.note_holder(thing, vm)
+                return grant
+        return None
+
+    async def _answer_ask(self, sender: str, ask: TokenAsk) -> TokenReply:
+        return TokenReply(self._grant(ask))
+
+    def _grant(self, ask: TokenAsk) -> TokenGrant | None:
+        shard = self._view.placement.shard_of(f'team:{ask.team_key}')
+        coordinator = self._coordination.coordinator
+        moment = now()
+        if not coordinator.holds(shard, moment):
+            self._ledgers.pop(ask.team_key, None)
+            return None
+        ledger = self._ledger(ask.team_key, coordinator.held_since(shard))
+        if ledger is None:
+            return None
+        return ledger.grant(ask, moment, coordinator.lease_until(shard))
+
+    def _ledger(self, team_key: str, held_since: float) -> TeamLedger | None:
+        team = self._team(team_key)
+        if team is None:
+            return None
+        held = self._ledgers.get(team_key)
+        # A lease that was lost and won again is a new one: tokens of the
+        # time between are unknown, so the ledger starts empty.
+        if held is None or held.held_since != held_since:
+            ledger = TeamLedger.from_config(team, held_since)
+            held = _HeldLedger(held_since, team, ledger)
+            self._ledgers[team_key] = held
+        if held.team != team:
+            held.ledger.reconfigure(team, now())
+            held.team = team
+        return held.ledger
+
+    def _team(self, team_key: str) -> Team | None:
+        service_name, _, team_name = team_key.partition('/')
+        service = self._view.service(service_name)
+        if service is None:
+            return None
+        named = (team for team in service.teams if team.name == team_name)
+        return next(named, None)
