Load and check service files, settings and VM lists

Cause: daemon and command line need checked values, and operators need every fault of a file at once. Ruled out: refusing unknown keys in the platform's VM list, since a field it adds must not stop the fleet; comparing paths as sent, since a target decodes them. Conclusion: the thin path can load its files.

--- a/packages/config/src/jacinthcroft_config/__init__.py
+++ b/packages/config/src/jacinthcroft_config/__init__.py
@@ -1,5 +1,15 @@
-"""Service files, settings, checks and bundles of jacinthcroft."""
+"""Service files, settings, checks and bundles of jacinthcroft.
 
+`load_service`, `load_settings` and `load_vm_list` turn text into values or
+into `Faults`; `join_services` makes the services one `Configuration`, in
+which `RouteTable` and `TeamIndex` look things up for each request.
+"""
+
+from jacinthcroft_config.internal.checkers import Problem, parse_address
+from jacinthcroft_config.internal.documents import MAX_VALUE_BYTES
+from jacinthcroft_config.internal.faults import Fault, Faults
+from jacinthcroft_config.internal.joining import NamedService, join_services
+from jacinthcroft_config.internal.key_hashes import hash_key
 from jacinthcroft_config.internal.models import (
     Access,
     Address,
@@ -14,18 +24,67 @@
     VmList,
     VmState,
 )
+from jacinthcroft_config.internal.route_tables import (
+    MethodNotAllowed,
+    RouteMatch,
+    RouteTable,
+    UnknownRoute,
+)
+from jacinthcroft_config.internal.service_files import load_service
+from jacinthcroft_config.internal.service_keys import describe_service_file
+from jacinthcroft_config.internal.settings import (
+    FleetSettings,
+    ListenSettings,
+    LogLevel,
+    LogSettings,
+    PlatformSettings,
+    Settings,
+    Tunables,
+    VmSettings,
+    describe_settings,
+    load_settings,
+)
+from jacinthcroft_config.internal.team_index import TeamIndex, TeamOfService
+from jacinthcroft_config.internal.vm_lists import load_vm_list
 
 __all__ = (
     'Access',
     'Address',
     'Configuration',
+    'Fault',
+    'Faults',
+    'FleetSettings',
+    'ListenSettings',
+    'LogLevel',
+    'LogSettings',
+    'MAX_VALUE_BYTES',
+    'MethodNotAllowed',
+    'NamedService',
+    'PlatformSettings',
+    'Problem',
     'Route',
+    'RouteMatch',
+    'RouteTable',
     'Service',
+    'Settings',
     'Target',
     'TargetLimits',
     'TargetState',
     'Team',
+    'TeamIndex',
+    'TeamOfService',
+    'Tunables',
+    'UnknownRoute',
     'Vm',
     'VmList',
+    'VmSettings',
     'VmState',
+    'describe_service_file',
+    'describe_settings',
+    'hash_key',
+    'join_services',
+    'load_service',
+    'load_settings',
+    'load_vm_list',
+    'parse_address',
 )
--- /dev/null
+++ b/packages/config/src/jacinthcroft_config/internal/checkers.py
@@ -0,0 +1,264 @@
+"""Checks of single values, shared by every file that people write.
+
+A checker says in `wanted` what may be written and turns a raw value of TOML
+or JSON into the value that the program uses, or into a `Problem`. Checkers
+raise nothing, whatever they are given.
+"""
+
+import enum
+import ipaddress
+import re
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+from attrs import field, frozen
+
+from jacinthcroft_config.internal.models import Address
+
+MAX_PORT = 65_535
+
+_SHOWN_CHARACTERS = 40
+_NAME = re.compile('[a-z0-9](?:[a-z0-9._-]{0,62})')
+_KEY_HASH = re.compile('sha256:([0-9a-fA-F]{64})')
+_PATH = re.compile(r'/|(?:/(?:\{[a-z0-9_]+\}|[A-Za-z0-9_~-][A-Za-z0-9._~-]*))+')
+_PORT = re.compile('[0-9]{1,5}')
+
+
+@dataclass(frozen=True)
+class Problem:
+    """Why a value is not accepted."""
+
+    text: str
+
+
+def shown(raw: object) -> str:
+    """Returns a raw value as it may stand in a fault, shortened."""
+    text = repr(raw)
+    if len(text) > _SHOWN_CHARACTERS:
+        return f'{text[:_SHOWN_CHARACTERS]}...'
+    return text
+
+
+def _refused(raw: object) -> Problem:
+    return Problem(f'{shown(raw)} is not accepted')
+
+
+class Checker(ABC):
+    """Judges one raw value."""
+
+    @property
+    @abstractmethod
+    def wanted(self) -> str:
+        """What may be written, as the end of `write ...`."""
+
+    @abstractmethod
+    def check(self, raw: object) -> object:
+        """Returns the value to use, or a `Problem`."""
+
+
+@frozen
+class Text(Checker):
+    """Any text that is not empty."""
+
+    @property
+    def wanted(self) -> str:
+        """What may be written."""
+        return 'text in quotes'
+
+    def check(self, raw: object) -> object:
+        """Returns the text, or a `Problem`."""
+        return raw if isinstance(raw, str) and raw else _refused(raw)
+
+
+@frozen
+class Name(Checker):
+    """A short name that is safe in addresses, metrics and file names."""
+
+    @property
+    def wanted(self) -> str:
+        """What may be written."""
+        return (
+            'a name of at most 63 lower-case letters, digits, dots, '
+            'hyphens and underscores in quotes'
+        )
+
+    def check(self, raw: object) -> object:
+        """Returns the name, or a `Problem`."""
+        if isinstance(raw, str) and _NAME.fullmatch(raw):
+            return raw
+        return _refused(raw)
+
+
+@frozen
+class Whole(Checker):
+    """A whole number between two bounds, both included."""
+
+    bounds: tuple[int, int]
+
+    @property
+    def wanted(self) -> str:
+        """What may be written."""
+        return 'a whole number from {} to {}'.format(*self.bounds)
+
+    def check(self, raw: object) -> object:
+        """Returns the number, or a `Problem`."""
+        # bool is an int to Python, but `true` is no number to an operator.
+        if isinstance(raw, bool) or not isinstance(raw, int):
+            return _refused(raw)
+        minimum, maximum = self.bounds
+        return raw if minimum <= raw <= maximum else _refused(raw)
+
+
+@frozen
+class Number(Checker):
+    """A finite number between two bounds, both included."""
+
+    bounds: tuple[float, float]
+
+    @property
+    def wanted(self) -> str:
+        """What may be written."""
+        return 'a number from {:g} to {:g}'.format(*self.bounds)
+
+    def check(self, raw: object) -> object:
+        """Returns the number as a float, or a `Problem`."""
+        if isinstance(raw, bool) or not isinstance(raw, int | float):
+            return _refused(raw)
+        # A NaN lies between no two bounds, and the bounds keep out an int
+        # that is too large for a float.
+        minimum, maximum = self.bounds
+        if minimum <= raw <= maximum:
+            return float(raw)
+        return _refused(raw)
+
+
+@frozen
+class Flag(Checker):
+    """True or false."""
+
+    @property
+    def wanted(self) -> str:
+        """What may be written."""
+        return 'true or false'
+
+    def check(self, raw: object) -> object:
+        """Returns the truth value, or a `Problem`."""
+        return raw if isinstance(raw, bool) else _refused(raw)
+
+
+@frozen
+class Choice(Checker):
+    """One of the values of an enumeration."""
+
+    choices: type[enum.Enum]
+
+    @property
+    def wanted(self) -> str:
+        """What may be written."""
+        names = (f'"{choice.value}"' for choice in self.choices)
+        return ' or '.join(names)
+
+    def check(self, raw: object) -> object:
+        """Returns the member of the enumeration, or a `Problem`."""
+        if not isinstance(raw, str):
+            return _refused(raw)
+        for choice in self.choices:
+            if choice.value == raw:
+                return choice
+        return _refused(raw)
+
+
+@frozen
+class AddressText(Checker):
+    """An IP number and a port."""
+
+    @property
+    def wanted(self) -> str:
+        """What may be written."""
+        return 'an IP number and a port such as "127.0.0.1:9001"'
+
+    def check(self, raw: object) -> object:
+        """Returns an `Address`, or a `Problem`."""
+        return parse_address(raw) if isinstance(raw, str) else _refused(raw)
+
+
+@frozen
+class KeyHash(Checker):
+    """The published form of a key."""
+
+    @property
+    def wanted(self) -> str:
+        """What may be written."""
+        return (
+            '"sha256:" and 64 hexadecimal digits '
+            '(`jacinthcroft key hash` prints them)'
+        )
+
+    def check(self, raw: object) -> object:
+        """Returns the lower-case digits, or a `Problem`."""
+        matched = _KEY_HASH.fullmatch(raw) if isinstance(raw, str) else None
+        # The raw text is not shown: it may be a key put there by mistake.
+        if matched is None:
+            return Problem('this is not the hash of a key')
+        return matched.group(1).lower()
+
+
+@frozen
+class PathPattern(Checker):
+    """A path of literal segments and segments in braces."""
+
+    @property
+    def wanted(self) -> str:
+        """What may be written."""
+        return (
+            'a path such as "/pots/{pot}/history", without a slash at its end'
+        )
+
+    def check(self, raw: object) -> object:
+        """Returns the path, or a `Problem`."""
+        if isinstance(raw, str) and _PATH.fullmatch(raw):
+            return raw
+        return _refused(raw)
+
+
+@frozen
+class ListOf(Checker):
+    """A list whose every element passes one checker."""
+
+    element: Checker
+    minimum: int = field(default=0)
+
+    @property
+    def wanted(self) -> str:
+        """What may be written."""
+        return f'a list; each element is {self.element.wanted}'
+
+    def check(self, raw: object) -> object:
+        """Returns a tuple, or the `Problem` of the first bad element."""
+        if not isinstance(raw, list):
+            return _refused(raw)
+        if len(raw) < self.minimum:
+            return Problem('the list is too short')
+        checked = tuple(self.element.check(element) for element in raw)
+        for element in checked:
+            if isinstance(element, Problem):
+                return element
+        if len(set(checked)) < len(checked):
+            return Problem('the list says something twice')
+        return checked
+
+
+def parse_address(text: str) -> Address | Problem:
+    """Reads `127.0.0.1:9001` or `[::1]:9001`."""
+    host, _, port = text.rpartition(':')
+    if not _PORT.fullmatch(port) or not 1 <= int(port) <= MAX_PORT:
+        return Problem(f'{shown(text)} has no port from 1 to {MAX_PORT}')
+    is_bracketed = host.startswith('[') and host.endswith(']')
+    try:
+        number = ipaddress.ip_address(host[1:-1] if is_bracketed else host)
+    except ValueError:
+        return Problem(f'{shown(text)} has no IP number')
+    is_version_six = isinstance(number, ipaddress.IPv6Address)
+    if is_bracketed is not is_version_six:
+        return Problem(f'{shown(text)} has no IP number')
+    return Address(str(number), int(port))
--- /dev/null
+++ b/packages/config/src/jacinthcroft_config/internal/faults.py
@@ -0,0 +1,55 @@
+"""Faults that a check finds in a file, as values.
+
+Every fault names the file, the key in it, what is wrong and what to write
+instead, so that an operator can mend a file without reading this code.
+"""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class Fault:
+    """One thing wrong in one file; `key` is empty for the file as a whole."""
+
+    file: str
+    key: str
+    problem: str
+    remedy: str
+
+    def __str__(self) -> str:
+        """Returns `file:key: what is wrong, what to write instead`."""
+        return f'{self.file}:{self.key}: {self.problem}, {self.remedy}'
+
+
+@dataclass(frozen=True)
+class Faults:
+    """All faults of one check, in the order in which they were found."""
+
+    faults: tuple[Fault, ...]
+
+    def __str__(self) -> str:
+        """Returns one line for each fault."""
+        return '\n'.join(str(fault) for fault in self.faults)
+
+
+class FaultLog:
+    """Collects the faults of one file while it is read."""
+
+    def __init__(self, file_name: str) -> None:
+        """Starts without a fault."""
+        self.file_name = file_name
+        self._faults: list[Fault] = []
+
+    @property
+    def is_clean(self) -> bool:
+        """Whether nothing was found so far."""
+        return not self._faults
+
+    @property
+    def faults(self) -> Faults:
+        """Everything found so far."""
+        return Faults(tuple(self._faults))
+
+    def report(self, key: str, problem: str, remedy: str) -> None:
+        """Adds one fault."""
+        self._faults.append(Fault(self.file_name, key, problem, remedy))
--- /dev/null
+++ b/packages/config/src/jacinthcroft_config/internal/joining.py
@@ -0,0 +1,105 @@
+"""Joins service files into one configuration, checking across files."""
+
+from collections.abc import Iterable
+from typing import TypeAlias
+
+from attrs import Factory, frozen
+
+from jacinthcroft_config.internal.faults import Fault, Faults
+from jacinthcroft_config.internal.models import (
+    Address,
+    Configuration,
+    Service,
+)
+from jacinthcroft_config.internal.route_claims import RouteClaims, claims_of
+
+NamedService: TypeAlias = tuple[str, Service]
+
+
+def join_services(
+    revision: int,
+    services: Iterable[NamedService],
+) -> Configuration | Faults:
+    """Returns the configuration of all files, or every clash between them.
+
+    Each service comes with the name of its file.
+    """
+    joined = tuple(services)
+    clashes = _Clashes()
+    for file_name, service in joined:
+        clashes.check(file_name, service)
+    if clashes.faults:
+        return Faults(tuple(clashes.faults))
+    return Configuration(revision, tuple(named[1] for named in joined))
+
+
+@frozen
+class _Clashes:
+    """What earlier files have taken, and the faults of later ones."""
+
+    faults: list[Fault] = Factory(list)
+    _services: dict[str, str] = Factory(dict)
+    _claims: RouteClaims = Factory(RouteClaims)
+    _key_owners: dict[str, str] = Factory(dict)
+    _addresses: dict[Address, str] = Factory(dict)
+
+    def check(self, file_name: str, service: Service) -> None:
+        """Reports what this file shares with earlier ones, then adds it."""
+        earlier = self._services.get(service.name)
+        if earlier is not None:
+            self._report(
+                file_name,
+                'service',
+                f'{service.name!r} is also the service of {earlier}',
+                'write another name',
+            )
+            # Everything else would clash with itself as well.
+            return
+        self._services[service.name] = file_name
+        self._check_routes(file_name, service)
+        self._check_keys(file_name, service)
+        self._check_addresses(file_name, service)
+
+    def _check_routes(self, file_name: str, service: Service) -> None:
+        for route in service.routes:
+            for claim in claims_of(route):
+                earlier = self._claims.add(claim, file_name)
+                if earlier not in {None, file_name}:
+                    self._report(
+                        file_name,
+                        f'routes[{route.name}].path',
+                        f'{claim.method} {route.path} is also in {earlier}',
+                        'write another path or method',
+                    )
+
+    def _check_keys(self, file_name: str, service: Service) -> None:
+        for team in service.teams:
+            for key_hash in team.key_hashes:
+                owner = self._key_owners.setdefault(key_hash, team.name)
+                if owner != team.name:
+                    self._report(
+                        file_name,
+                        f'teams.{team.name}.keys',
+                        f'a key is that of team {owner!r} in another file',
+                        'give each team its own keys',
+                    )
+
+    def _check_addresses(self, file_name: str, service: Service) -> None:
+        for target in service.targets:
+            owner = self._addresses.setdefault(target.address, service.name)
+            if owner != service.name:
+                self._report(
+                    file_name,
+                    f'targets.{target.name}.address',
+                    f'{target.address} is also a target of {owner!r}',
+                    'give each service its own targets',
+                )
+
+    def _report(
+        self,
+        file_name: str,
+        key: str,
+        problem: str,
+        remedy: str,
+    ) -> None:
+        self.faults.append(Fault(file_name, key, problem, remedy))
--- /dev/null
+++ b/packages/config/src/jacinthcroft_config/internal/key_hashes.py
@@ -0,0 +1,8 @@
+"""Hashes of keys: the only form in which a key is published or kept."""
+
+import hashlib
+
+
+def hash_key(key: str) -> str:
+    """Returns the lower-case hexadecimal SHA-256 digest of a key."""
+    return hashlib.sha256(key.encode('utf-8', 'surrogatepass')).hexdigest()
--- a/packages/config/src/jacinthcroft_config/internal/models.py
+++ b/packages/config/src/jacinthcroft_config/internal/models.py
@@ -38,8 +38,9 @@
     port: int
 
     def __str__(self) -> str:
-        """Returns `host:port`."""
-        return f'{self.host}:{self.port}'
+        """Returns `host:port`, an IP number of version 6 in brackets."""
+        host = f'[{self.host}]' if ':' in self.host else self.host
+        return f'{host}:{self.port}'
 
 
 @frozen
--- /dev/null
+++ b/packages/config/src/jacinthcroft_config/internal/service_files.py
@@ -0,0 +1,167 @@
+"""Loads one service file: every fault of it at once, or the service.
+
+Reading goes in two steps. First each table is checked by its keys, then the
+rules that tie tables together are checked; only a file without any fault is
+built into a `Service`.
+"""
+
+from collections.abc import Mapping
+from typing import Any
+
+from attrs import frozen
+
+from jacinthcroft_config.internal.checkers import Name, Problem
+from jacinthcroft_config.internal.documents import parse_toml, report_size
+from jacinthcroft_config.internal.faults import FaultLog, Faults
+from jacinthcroft_config.internal.models import (
+    Access,
+    Route,
+    Service,
+    Target,
+    TargetLimits,
+    Team,
+)
+from jacinthcroft_config.internal.service_keys import (
+    LIMIT_KEYS,
+    ROUTE_KEYS,
+    TARGET_KEYS,
+    TEAM_KEYS,
+)
+from jacinthcroft_config.internal.service_rules import check_rules
+from jacinthcroft_config.internal.tables import (
+    Key,
+    TableReader,
+    as_table,
+    join_key,
+)
+
+_SERVICE = Key('service', Name(), 'Name of the service.')
+_TOP_LEVEL = ['service', 'limits', 'routes', 'teams', 'targets']
+
+
+def load_service(text: str, file_name: str) -> Service | Faults:
+    """Reads a service file, or tells every fault in it."""
+    log = FaultLog(file_name)
+    report_size(log, text)
+    document = parse_toml(log, text)
+    if not log.is_clean:
+        return log.faults
+    tables = _ServiceTables.from_document(log, document)
+    # The rules look only at values that passed their own check, so they
+    # add to the faults found so far instead of repeating them.
+    check_rules(log, tables.limits, tables.routes, tables.teams, tables.targets)
+    return tables.build() if log.is_clean else log.faults
+
+
+@frozen
+class _ServiceTables:
+    """The checked values of a file's tables, by the tables' names."""
+
+    name: str
+    limits: Mapping[str, Any]
+    routes: Mapping[str, Mapping[str, Any]]
+    teams: Mapping[str, Mapping[str, Any]]
+    targets: Mapping[str, Mapping[str, Any]]
+
+    @classmethod
+    def from_document(
+        cls,
+        log: FaultLog,
+        document: dict[str, Any],
+    ) -> '_ServiceTables':
+        """Checks every table of a document by its keys."""
+        reader = TableReader(log, ignores_unknown=True)
+        top = reader.read('', document, (_SERVICE,))
+        strict = TableReader(log)
+        strict.report_unknown('', document, _TOP_LEVEL)
+        return cls(
+            name=top.get('service', ''),
+            limits=strict.read(
+                'limits', document.get('limits', {}), LIMIT_KEYS
+            ),
+            routes=_read_routes(strict, document.get('routes', [])),
+            teams=_read_named(strict, document, 'teams', TEAM_KEYS),
+            targets=_read_named(strict, document, 'targets', TARGET_KEYS),
+        )
+
+    def build(self) -> Service:
+        """Returns the service; every value must have passed its check."""
+        return Service(
+            name=self.name,
+            limits=TargetLimits(**self.limits),
+            routes=tuple(_build_route(route) for route in self.routes.values()),
+            teams=tuple(
+                Team(name, team['rate'], team['burst'], team['keys'])
+                for name, team in self.teams.items()
+            ),
+            targets=tuple(
+                Target(name, **target) for name, target in self.targets.items()
+            ),
+        )
+
+
+def _read_routes(
+    reader: TableReader,
+    raw: object,
+) -> dict[str, dict[str, Any]]:
+    """Returns the routes by the place where a fault of them is told."""
+    if not isinstance(raw, list):
+        reader.log.report(
+            'routes',
+            'not a list of tables',
+            'write each route below [[routes]]',
+        )
+        return {}
+    places = [_route_place(number, route) for number, route in enumerate(raw)]
+    twice = {place for place in places if places.count(place) > 1}
+    for repeated in sorted(twice):
+        reader.log.report(
+            repeated,
+            'two routes have this name',
+            'give each route its own name',
+        )
+    return {
+        place: reader.read(place, route, ROUTE_KEYS)
+        for place, route in zip(places, raw, strict=True)
+    }
+
+
+def _route_place(number: int, route: object) -> str:
+    name = route.get('name') if isinstance(route, dict) else None
+    if isinstance(Name().check(name), Problem):
+        return f'routes[#{number + 1}]'
+    return f'routes[{name}]'
+
+
+def _read_named(
+    reader: TableReader,
+    document: Mapping[str, object],
+    section: str,
+    keys: tuple[Key, ...],
+) -> dict[str, dict[str, Any]]:
+    """Returns the tables below a section by their names."""
+    tables = as_table(reader.log, section, document.get(section, {}))
+    for written in tables:
+        if isinstance(Name().check(written), Problem):
+            reader.log.report(
+                join_key(section, written),
+                'not a name',
+                f'write {Name().wanted}',
+            )
+    return {
+        name: reader.read(join_key(section, name), table, keys)
+        for name, table in tables.items()
+    }
+
+
+def _build_route(route: Mapping[str, Any]) -> Route:
+    return Route(
+        name=route['name'],
+        methods=tuple(method.value for method in route['methods']),
+        path=route['path'],
+        access=Access(route['access']),
+        teams=route['teams'],
+        is_idempotent=route['idempotent'],
+        request_class=route['class'] or route['name'],
+        deadline_ms=route['deadline_ms'],
+    )
--- /dev/null
+++ b/packages/config/src/jacinthcroft_config/internal/settings.py
@@ -0,0 +1,229 @@
+"""The settings file of a VM: what it may say, its check and its description.
+
+Each section of the file is a class below; each field declares its key's
+checker, default and meaning once.
+"""
+
+import enum
+from typing import Annotated, Any
+
+from attrs import field, frozen
+
+from jacinthcroft_config.internal.checkers import (
+    AddressText,
+    Choice,
+    Name,
+    Number,
+    Text,
+    Whole,
+)
+from jacinthcroft_config.internal.documents import parse_toml
+from jacinthcroft_config.internal.faults import FaultLog, Faults
+from jacinthcroft_config.internal.models import Address
+from jacinthcroft_config.internal.tables import (
+    TableReader,
+    describe_table,
+    keys_of,
+)
+
+
+class LogLevel(enum.Enum):
+    """How much a VM writes to its log."""
+
+    DEBUG = 'debug'
+    INFO = 'info'
+    WARNING = 'warning'
+    ERROR = 'error'
+
+    def __str__(self) -> str:
+        """Returns the level as it is written in the file."""
+        return self.value
+
+
+@frozen
+class VmSettings:
+    """Which VM this is."""
+
+    name: Annotated[
+        str,
+        Name(),
+        "Name of this VM in the platform's list.",
+    ]
+    zone: Annotated[
+        str,
+        Name(),
+        'Availability zone that this VM stands in.',
+    ]
+
+
+@frozen
+class ListenSettings:
+    """Where this VM is reached."""
+
+    callers: Annotated[
+        Address,
+        AddressText(),
+        'Where callers send requests.',
+    ]
+    peers: Annotated[
+        Address,
+        AddressText(),
+        'Where other VMs send messages.',
+    ]
+    operators: Annotated[
+        Address,
+        AddressText(),
+        'Where health, metrics and status are read.',
+    ]
+
+
+@frozen
+class PlatformSettings:
+    """Where the platform's configuration service is."""
+
+    address: Annotated[
+        Address,
+        AddressText(),
+        'The configuration service.',
+    ]
+
+
+@frozen
+class FleetSettings:
+    """What the VMs of one fleet share."""
+
+    secret_file: Annotated[
+        str,
+        Text(),
+        'File that holds the secret by which VMs know each other.',
+    ]
+
+
+@frozen
+class LogSettings:
+    """What is written to the log."""
+
+    level: Annotated[
+        LogLevel,
+        Choice(LogLevel),
+        'Least severe events written.',
+    ] = LogLevel.INFO
+
+
+@frozen
+class Tunables:
+    """Values that seldom need a change; names end in their units."""
+
+    gossip_interval_ms: Annotated[
+        int,
+        Whole((50, 10_000)),
+        'Time between two exchanges of revisions with a peer.',
+    ] = 500
+    coordination_interval_ms: Annotated[
+        int,
+        Whole((20, 1_000)),
+        'Time between two steps of leases, tokens and permits.',
+    ] = 150
+    drain_seconds: Annotated[
+        float,
+        Number((0, 600)),
+        'How long a stopping VM waits for requests in progress.',
+    ] = 10.0
+    freshness_seconds: Annotated[
+        float,
+        Number((1, 60)),
+        'How long a VM that hears neither the platform nor a majority '
+        'of its peers still serves keyed requests.',
+    ] = 5.0
+    platform_wait_seconds: Annotated[
+        int,
+        Whole((1, 300)),
+        'How long one watch of the platform waits for a new revision.',
+    ] = 20
+    platform_watchers: Annotated[
+        int,
+        Whole((1, 64)),
+        'VMs that watch the platform; the others are told by peers.',
+    ] = 4
+    head_timeout_ms: Annotated[
+        int,
+        Whole((100, 60_000)),
+        "How long a caller may take to send a request's head.",
+    ] = 5000
+    max_head_bytes: Annotated[
+        int,
+        Whole((1_024, 1_048_576)),
+        'Largest head of a request.',
+    ] = 16_384
+    max_body_bytes: Annotated[
+        int,
+        Whole((1_024, 1_073_741_824)),
+        'Largest body of a request or an answer.',
+    ] = 1_048_576
+    queue_limit: Annotated[
+        int,
+        Whole((1, 100_000)),
+        'Requests that may wait on one VM; more are refused.',
+    ] = 200
+    trace_entries: Annotated[
+        int,
+        Whole((0, 1_000_000)),
+        'Latest requests that `jacinthcroft explain` knows on a VM.',
+    ] = 2000
+    metric_teams: Annotated[
+        int,
+        Whole((1, 10_000)),
+        'Teams with metrics of their own; the rest are added up.',
+    ] = 256
+
+
+@frozen
+class Settings:
+    """One VM's settings file."""
+
+    vm: VmSettings
+    listen: ListenSettings
+    platform: PlatformSettings
+    fleet: FleetSettings
+    log: LogSettings = field(factory=LogSettings)
+    tunables: Tunables = field(factory=Tunables)
+
+
+_SECTIONS = (
+    ('vm', VmSettings),
+    ('listen', ListenSettings),
+    ('platform', PlatformSettings),
+    ('fleet', FleetSettings),
+    ('log', LogSettings),
+    ('tunables', Tunables),
+)
+
+
+def load_settings(text: str, file_name: str) -> Settings | Faults:
+    """Reads a VM's settings, or tells every fault in them."""
+    log = FaultLog(file_name)
+    document = parse_toml(log, text)
+    if not log.is_clean:
+        return log.faults
+    reader = TableReader(log)
+    reader.report_unknown('', document, [name for name, _ in _SECTIONS])
+    checked = {
+        name: reader.read(name, document.get(name, {}), keys_of(section))
+        for name, section in _SECTIONS
+    }
+    if not log.is_clean:
+        return log.faults
+    sections: dict[str, Any] = {
+        name: section(**checked[name]) for name, section in _SECTIONS
+    }
+    return Settings(**sections)
+
+
+def describe_settings() -> str:
+    """Returns every section and key of the settings as Markdown."""
+    parts = ['# Settings of jacinthcroftd']
+    for name, section in _SECTIONS:
+        parts.append(f'## `[{name}]`')
+        parts.append(str(section.__doc__))
+        parts.append(describe_table(keys_of(section)))
+    return '\n\n'.join(parts)
