Daemon: adapt to the settings, traffic and coordination interfaces

Cause: the drafts met their real neighbours. Change: address map in settings, typed tags for batches, bodies that report their end once.

--- a/packages/config/src/jacinthcroft_config/__init__.py
+++ b/packages/config/src/jacinthcroft_config/__init__.py
@@ -13,6 +13,7 @@
 from jacinthcroft_config.internal.models import (
     Access,
     Address,
+    AddressPair,
     Configuration,
     Route,
     Service,
@@ -37,6 +38,7 @@
     ListenSettings,
     LogLevel,
     LogSettings,
+    NetworkSettings,
     PlatformSettings,
     Settings,
     Tunables,
@@ -50,6 +52,7 @@
 __all__ = (
     'Access',
     'Address',
+    'AddressPair',
     'Configuration',
     'Fault',
     'Faults',
@@ -60,6 +63,7 @@
     'MAX_VALUE_BYTES',
     'MethodNotAllowed',
     'NamedService',
+    'NetworkSettings',
     'PlatformSettings',
     'Problem',
     'Route',
--- a/packages/config/src/jacinthcroft_config/internal/checkers.py
+++ b/packages/config/src/jacinthcroft_config/internal/checkers.py
@@ -13,7 +13,7 @@
 
 from attrs import field, frozen
 
-from jacinthcroft_config.internal.models import Address
+from jacinthcroft_config.internal.models import Address, AddressPair
 
 MAX_PORT = 65_535
 
@@ -182,6 +182,29 @@
         return parse_address(raw) if isinstance(raw, str) else _refused(raw)
 
 
+@frozen
+class AddressPairText(Checker):
+    """A published address and the address to use in its place."""
+
+    @property
+    def wanted(self) -> str:
+        """What may be written."""
+        return 'two addresses such as "10.0.0.1:9001>127.0.0.1:7001"'
+
+    def check(self, raw: object) -> object:
+        """Returns an `AddressPair`, or a `Problem`."""
+        if not isinstance(raw, str):
+            return _refused(raw)
+        published_text, _, reachable_text = raw.partition('>')
+        published = parse_address(published_text)
+        reachable = parse_address(reachable_text)
+        if isinstance(published, Problem):
+            return published
+        if isinstance(reachable, Problem):
+            return reachable
+        return AddressPair(published, reachable)
+
+
 @frozen
 class KeyHash(Checker):
     """The published form of a key."""
--- a/packages/config/src/jacinthcroft_config/internal/models.py
+++ b/packages/config/src/jacinthcroft_config/internal/models.py
@@ -43,6 +43,14 @@
         return f'{host}:{self.port}'
 
 
+@frozen
+class AddressPair:
+    """A published address and the one that leads there from this VM."""
+
+    published: Address
+    reachable: Address
+
+
 @frozen
 class Team:
     """A team's keys and what it may spend on one service.
--- a/packages/config/src/jacinthcroft_config/internal/settings.py
+++ b/packages/config/src/jacinthcroft_config/internal/settings.py
@@ -10,8 +10,10 @@
 from attrs import field, frozen
 
 from jacinthcroft_config.internal.checkers import (
+    AddressPairText,
     AddressText,
     Choice,
+    ListOf,
     Name,
     Number,
     Text,
@@ -19,7 +21,7 @@
 )
 from jacinthcroft_config.internal.documents import parse_toml
 from jacinthcroft_config.internal.faults import FaultLog, Faults
-from jacinthcroft_config.internal.models import Address
+from jacinthcroft_config.internal.models import Address, AddressPair
 from jacinthcroft_config.internal.tables import (
     TableReader,
     describe_table,
@@ -99,6 +101,18 @@
     ]
 
 
+@frozen
+class NetworkSettings:
+    """How this VM reaches addresses that others publish."""
+
+    address_map: Annotated[
+        tuple[AddressPair, ...],
+        ListOf(AddressPairText()),
+        'Published addresses of VMs and targets that this VM reaches at '
+        'another address.',
+    ] = ()
+
+
 @frozen
 class LogSettings:
     """What is written to the log."""
@@ -124,6 +138,12 @@
         Whole((20, 1_000)),
         'Time between two steps of leases, tokens and permits.',
     ] = 150
+    drain_notice_ms: Annotated[
+        int,
+        Whole((0, 60_000)),
+        'How long a stopping VM goes on serving new arrivals while the '
+        'balancer notices that it is not ready.',
+    ] = 1000
     drain_seconds: Annotated[
         float,
         Number((0, 600)),
@@ -139,7 +159,7 @@
         int,
         Whole((1, 300)),
         'How long one watch of the platform waits for a new revision.',
-    ] = 20
+    ] = 2
     platform_watchers: Annotated[
         int,
         Whole((1, 64)),
@@ -185,6 +205,7 @@
     listen: ListenSettings
     platform: PlatformSettings
     fleet: FleetSettings
+    network: NetworkSettings = field(factory=NetworkSettings)
     log: LogSettings = field(factory=LogSettings)
     tunables: Tunables = field(factory=Tunables)
 
@@ -194,6 +215,7 @@
     ('listen', ListenSettings),
     ('platform', PlatformSettings),
     ('fleet', FleetSettings),
+    ('network', NetworkSettings),
     ('log', LogSettings),
     ('tunables', Tunables),
 )
--- a/packages/daemon/src/jacinthcroft_daemon/internal/app.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/app.py
@@ -2,10 +2,21 @@
 
 import asyncio
 import secrets
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from typing import Final
 
 from jacinthcroft_config import Settings
+from jacinthcroft_decisions.coordination import CoordinationTerms
+from jacinthcroft_http import (
+    BadRequest,
+    ConnectionPool,
+    PoolLimits,
+    Response,
+    Server,
+    ServerLimits,
+    now,
+)
+
 from jacinthcroft_daemon.internal.fleet.spread import Spread, placements_of
 from jacinthcroft_daemon.internal.fleet.view import FleetView
 from jacinthcroft_daemon.internal.operators import OperatorPort
@@ -28,16 +39,6 @@
 from jacinthcroft_daemon.internal.sharing.quarantine import QuarantineService
 from jacinthcroft_daemon.internal.sharing.tokens import TokenService
 from jacinthcroft_daemon.internal.telemetry import log_event
-from jacinthcroft_decisions.coordination import CoordinationTerms
-from jacinthcroft_http import (
-    BadRequest,
-    ConnectionPool,
-    PoolLimits,
-    Response,
-    Server,
-    ServerLimits,
-    now,
-)
 
 _INCARNATION_BYTES: Final = 8
 _BAD_REQUEST: Final = 400
@@ -54,28 +55,33 @@
         signer = Signer(secret)
         self._pool = ConnectionPool.from_limits(PoolLimits())
         self._view = FleetView(
-            settings.vm,
-            settings.zone,
+            settings.vm.name,
+            settings.vm.zone,
             CoordinationTerms(),
             started_at,
+            settings.network.address_map,
         )
         self._peers = PeerClient(
-            settings.vm,
+            settings.vm.name,
             signer,
             self._pool,
             self._view.peer_address,
         )
-        self._router = PeerRouter(settings.vm, signer)
+        self._router = PeerRouter(settings.vm.name, signer)
         self._spread = Spread(
             self._view,
-            settings,
-            connect_platform('http', settings.platform, settings.vm),
+            settings.tunables,
+            connect_platform(
+                'http',
+                settings.platform.address,
+                settings.vm.name,
+            ),
             self._peers,
             self._on_change,
         )
         self._coordination = CoordinationService(
             self._view,
-            settings,
+            settings.tunables,
             self._peers,
             incarnation,
             started_at,
@@ -102,7 +108,7 @@
         self._cells = HeldCells(
             view,
             self._coordination,
-            Prober(self._pool),
+            Prober(view, self._pool),
             incarnation,
         )
         self._permits = PermitService(view, self._cells, finder)
@@ -125,7 +131,7 @@
     def _build_ports(self) -> None:
         reporter = RequestReporter()
         admission = Admission(self._view)
-        attempts = Attempts(admission, self._permits, self._pool)
+        attempts = Attempts(self._view, admission, self._permits, self._pool)
         runner = Runner(
             self._tokens,
             self._permits,
@@ -150,8 +156,8 @@
             reporter,
         )
         limits = ServerLimits(
-            max_head_bytes=self._settings.max_head_bytes,
-            head_timeout=self._settings.head_timeout_ms / 1000,
+            max_head_bytes=self._settings.tunables.max_head_bytes,
+            head_timeout=self._settings.tunables.head_timeout_ms / 1000,
         )
         self._caller_server = Server.from_limits(
             limits,
@@ -170,16 +176,17 @@
         )
 
     async def _start_servers(self) -> None:
-        listen = self._settings
+        listen = self._settings.listen
+        vm = self._settings.vm
         for server, address in (
             (self._peer_server, listen.peers),
             (self._operator_server, listen.operators),
             (self._caller_server, listen.callers),
         ):
             await server.start(address.host, address.port)
-        log_event('info', 'started', vm=listen.vm, zone=listen.zone)
+        log_event('info', 'started', vm=vm.name, zone=vm.zone)
 
-    def _loops(self) -> tuple[Callable[[], Awaitable[None]], ...]:
+    def _loops(self) -> tuple[Callable[[], Coroutine[None, None, None]], ...]:
         return (
             lambda: self._spread.run_platform_watch('vms'),
             lambda: self._spread.run_platform_watch('bundle'),
@@ -207,16 +214,18 @@
 
     async def _drain(self) -> None:
         self._operators.is_draining = True
-        log_event('info', 'draining', vm=self._settings.vm)
+        log_event('info', 'draining', vm=self._settings.vm.name)
         # The balancer sees the readiness drop within this time; whatever it
         # still sends is served.
-        await asyncio.sleep(self._settings.drain_notice_ms / 1000)
+        await asyncio.sleep(self._settings.tunables.drain_notice_ms / 1000)
         await self._coordination.release()
-        cut = await self._caller_server.drain(self._settings.drain_seconds)
+        cut = await self._caller_server.drain(
+            self._settings.tunables.drain_seconds
+        )
         await self._once.finish()
         await self._peer_server.drain(1)
         await self._operator_server.drain(1)
-        log_event('info', 'stopped', vm=self._settings.vm, cut=cut)
+        log_event('info', 'stopped', vm=self._settings.vm.name, cut=cut)
 
     def _on_change(self) -> None:
         self._coordination.adopt(placements_of(self._view))
--- a/packages/daemon/src/jacinthcroft_daemon/internal/fleet/bundles.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/fleet/bundles.py
@@ -17,6 +17,7 @@
     join_services,
     load_service,
 )
+
 from jacinthcroft_daemon.internal.fleet.view import PublishedText
 
 
--- a/packages/daemon/src/jacinthcroft_daemon/internal/fleet/messages.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/fleet/messages.py
@@ -1,9 +1,9 @@
 """Messages by which VMs pass on what is published."""
 
 from attrs import frozen
+from jacinthcroft_decisions.coordination import HeardFrom
 
 from jacinthcroft_daemon.internal.fleet.view import PublishedText
-from jacinthcroft_decisions.coordination import HeardFrom
 
 
 @frozen
--- a/packages/daemon/src/jacinthcroft_daemon/internal/fleet/spread.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/fleet/spread.py
@@ -11,7 +11,10 @@
 from collections.abc import Callable
 from typing import Final
 
-from jacinthcroft_config import Faults, Settings, load_vm_list
+from jacinthcroft_config import Faults, Tunables, load_vm_list
+from jacinthcroft_decisions.coordination import Placement
+from jacinthcroft_http import now
+
 from jacinthcroft_daemon.internal.fleet.bundles import (
     MissingParts,
     PartStore,
@@ -35,8 +38,6 @@
     PlatformAway,
 )
 from jacinthcroft_daemon.internal.telemetry import log_event
-from jacinthcroft_decisions.coordination import Placement
-from jacinthcroft_http import now
 
 _PEERS_A_ROUND: Final = 3
 _PEER_TIMEOUT_SECONDS: Final = 1.0
@@ -52,14 +53,14 @@
     def __init__(
         self,
         view: FleetView,
-        settings: Settings,
+        tunables: Tunables,
         platform: Platform,
         peers: PeerClient,
         on_change: Listener,
     ) -> None:
         """Calls `on_change` after every adopted revision."""
         self._view = view
-        self._settings = settings
+        self._tunables = tunables
         self._platform = platform
         self._peers = peers
         self._on_change = on_change
@@ -85,7 +86,7 @@
             outcome = await self._platform.read(
                 name,
                 self._held_revision(name),
-                self._settings.platform_wait_seconds if is_watcher else 0,
+                self._tunables.platform_wait_seconds if is_watcher else 0,
             )
             if isinstance(outcome, PlatformAway):
                 log_event('warning', 'platform-away', detail=outcome.detail)
@@ -99,7 +100,7 @@
 
     async def run_gossip(self) -> None:
         """Asks a few peers for news on every interval, for ever."""
-        interval = self._settings.gossip_interval_ms / 1000
+        interval = self._tunables.gossip_interval_ms / 1000
         while True:
             chosen = self._view.freshness.choose_peers(
                 self._random,
@@ -110,8 +111,9 @@
             await asyncio.sleep(interval)
 
     def _is_watcher(self) -> bool:
-        watchers = self._view.placement.ranked('platform-watch')
-        first = watchers[: self._settings.platform_watchers]
+        placement = self._view.placement
+        watchers = placement.candidates(placement.shard_of('platform-watch'))
+        first = watchers[: self._tunables.platform_watchers]
         return not first or self._view.vm in first
 
     def _held_revision(self, name: str) -> int:
@@ -184,9 +186,14 @@
             await self._fetch_parts(assembled.digests, from_vm)
             assembled = self._parts.assemble(published)
         if isinstance(assembled, MissingParts):
-            log_event('warning', 'bundle-parts-missing', count=len(
-                assembled.digests,
-            ), revision=published.revision)
+            log_event(
+                'warning',
+                'bundle-parts-missing',
+                count=len(
+                    assembled.digests,
+                ),
+                revision=published.revision,
+            )
             return
         if isinstance(assembled, UnusableBundle):
             log_event(
--- a/packages/daemon/src/jacinthcroft_daemon/internal/fleet/view.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/fleet/view.py
@@ -6,15 +6,17 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Iterable
 from typing import Final
 
 from attrs import frozen
-
 from jacinthcroft_config import (
     Address,
+    AddressPair,
     Configuration,
     RouteTable,
     Service,
+    TeamIndex,
     VmList,
 )
 from jacinthcroft_decisions.coordination import (
@@ -45,6 +47,7 @@
         zone: str,
         terms: CoordinationTerms,
         started_at: float,
+        address_map: Iterable[AddressPair] = (),
     ) -> None:
         """Starts empty: nothing is in force until something is adopted."""
         self._vm = vm
@@ -54,10 +57,14 @@
         self._placement = Placement.from_vm_list(self._vm_list, terms)
         self._configuration = Configuration(revision=0, services=())
         self._routes = RouteTable.from_configuration(self._configuration)
+        self._teams = TeamIndex.from_configuration(self._configuration)
         self._services: dict[str, Service] = {}
         self._addresses: dict[str, Address] = {}
         self._lists: OrderedDict[int, PublishedText] = OrderedDict()
         self._configured_at = started_at
+        self._reachable = {
+            pair.published: pair.reachable for pair in address_map
+        }
         self._freshness = Freshness(vm, terms)
 
     @property
@@ -100,6 +107,11 @@
         """The routes of the configuration in force."""
         return self._routes
 
+    @property
+    def teams(self) -> TeamIndex:
+        """The teams of the configuration in force, by key hash."""
+        return self._teams
+
     @property
     def freshness(self) -> Freshness:
         """Whom this VM has heard lately."""
@@ -122,7 +134,12 @@
 
     def peer_address(self, vm: str) -> Address | None:
         """Returns where another VM takes peer messages."""
-        return self._addresses.get(vm)
+        address = self._addresses.get(vm)
+        return None if address is None else self.reachable(address)
+
+    def reachable(self, address: Address) -> Address:
+        """Returns the address by which this VM reaches a published one."""
+        return self._reachable.get(address, address)
 
     def is_fresh(self, now: float) -> bool:
         """Whether this VM may trust that it would know of a withdrawal."""
@@ -156,6 +173,7 @@
             return False
         self._configuration = configuration
         self._routes = RouteTable.from_configuration(configuration)
+        self._teams = TeamIndex.from_configuration(configuration)
         self._services = {
             service.name: service for service in configuration.services
         }
--- a/packages/daemon/src/jacinthcroft_daemon/internal/operators.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/operators.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from typing import Final
 
+from jacinthcroft_http import IncomingRequest, Response, now
+
 from jacinthcroft_daemon.internal.fleet.view import FleetView
 from jacinthcroft_daemon.internal.pipeline.reporting import RequestReporter
 from jacinthcroft_daemon.internal.sharing.coordination import (
@@ -10,7 +12,6 @@
 )
 from jacinthcroft_daemon.internal.sharing.held_cells import HeldCells
 from jacinthcroft_daemon.internal.sharing.permits import PermitService
-from jacinthcroft_http import IncomingRequest, Response, now
 
 _OK: Final = 200
 _NOT_FOUND: Final = 404
@@ -60,7 +61,6 @@
             and is_zone_in
             and not self.is_draining
             and view.is_fresh(now())
-            and self.coordination.is_leased_out
         )
 
     async def handle(self, request: IncomingRequest) -> Response:
@@ -86,37 +86,40 @@
 @operator_path('/status')
 def _status(port: OperatorPort, request: IncomingRequest) -> Response:
     view = port.view
-    return Response.json(_OK, {
-        'vm': view.vm,
-        'zone': view.zone,
-        'state': 'leaving' if port.is_draining else 'live',
-        'list_revision': view.vm_list.revision,
-        'configuration_revision': view.configuration.revision,
-        'configuration_age_seconds': round(now() - view.configured_at, 1),
-        'is_fresh': view.is_fresh(now()),
-        'leases': port.coordination.held_count,
-        'permits': port.permits.running,
-        'teams': [
-            {
-                'service': count.service,
-                'team': count.team,
-                'answered': count.answered,
-                'refused': count.refused,
-            }
-            for count in port.reporter.team_counts
-        ],
-        'targets': [
-            {
-                'service': service,
-                'target': target.name,
-                'state': target.state,
-                'running': target.running,
-                'allowed': target.allowed,
-            }
-            for service, target in port.cells.target_views
-        ],
-        'refusals': [
-            {'reason': reason, 'count': count}
-            for reason, count in port.reporter.reason_counts
-        ],
-    })
+    return Response.json(
+        _OK,
+        {
+            'vm': view.vm,
+            'zone': view.zone,
+            'state': 'leaving' if port.is_draining else 'live',
+            'list_revision': view.vm_list.revision,
+            'configuration_revision': view.configuration.revision,
+            'configuration_age_seconds': round(now() - view.configured_at, 1),
+            'is_fresh': view.is_fresh(now()),
+            'leases': port.coordination.coordinator.held_count(now()),
+            'permits': port.permits.running,
+            'teams': [
+                {
+                    'service': count.service,
+                    'team': count.team,
+                    'answered': count.answered,
+                    'refused': count.refused,
+                }
+                for count in port.reporter.team_counts
+            ],
+            'targets': [
+                {
+                    'service': service,
+                    'target': target.name,
+                    'state': target.state.value,
+                    'running': target.running,
+                    'allowed': target.allowed,
+                }
+                for service, target in port.cells.target_views
+            ],
+            'refusals': [
+                {'reason': reason, 'count': count}
+                for reason, count in port.reporter.reason_counts
+            ],
+        },
+    )
--- a/packages/daemon/src/jacinthcroft_daemon/internal/peers/__init__.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/peers/__init__.py
@@ -4,6 +4,8 @@
 from jacinthcroft_daemon.internal.peers.codec import (
     decode_message,
     encode_message,
+    structure,
+    unstructure,
 )
 from jacinthcroft_daemon.internal.peers.router import PeerRouter
 from jacinthcroft_daemon.internal.peers.signing import Envelope, Signer
@@ -16,4 +18,6 @@
     'Signer',
     'decode_message',
     'encode_message',
+    'structure',
+    'unstructure',
 )
--- a/packages/daemon/src/jacinthcroft_daemon/internal/peers/client.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/peers/client.py
@@ -7,12 +7,13 @@
 from typing import Final, TypeVar
 
 from jacinthcroft_config import Address
+from jacinthcroft_http import Answer, ConnectionPool, Headers, OutgoingRequest
+
 from jacinthcroft_daemon.internal.peers.codec import (
     decode_message,
     encode_message,
 )
 from jacinthcroft_daemon.internal.peers.signing import Envelope, Signer
-from jacinthcroft_http import Answer, ConnectionPool, Headers, OutgoingRequest
 
 _OK: Final = 200
 _NONCE_BYTES: Final = 12
@@ -103,15 +104,17 @@
             port=address.port,
             method='POST',
             target=f'/peer/{envelope.kind}',
-            headers=Headers((
-                ('host', str(address)),
-                ('content-length', str(len(body))),
-                ('x-peer-sender', envelope.sender),
-                ('x-peer-recipient', envelope.recipient),
-                ('x-peer-nonce', envelope.nonce),
-                ('x-peer-time', repr(envelope.sent_at)),
-                ('x-peer-signature', self._signer.sign(envelope, body)),
-            )),
+            headers=Headers(
+                (
+                    ('host', str(address)),
+                    ('content-length', str(len(body))),
+                    ('x-peer-sender', envelope.sender),
+                    ('x-peer-recipient', envelope.recipient),
+                    ('x-peer-nonce', envelope.nonce),
+                    ('x-peer-time', repr(envelope.sent_at)),
+                    ('x-peer-signature', self._signer.sign(envelope, body)),
+                )
+            ),
             body=body,
         )
 
@@ -127,7 +130,9 @@
         if answer.status != _OK:
             return PeerSilent(asked.recipient, f'status {answer.status}')
         signature = answer.headers.get('x-peer-signature') or ''
-        if not self._signer.is_authentic(reply_envelope(asked), body, signature):
+        if not self._signer.is_authentic(
+            reply_envelope(asked), body, signature
+        ):
             return PeerSilent(asked.recipient, 'the reply is not authentic')
         reply = decode_message(body, reply_type)
         if reply is None:
--- a/packages/daemon/src/jacinthcroft_daemon/internal/peers/codec.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/peers/codec.py
@@ -1,7 +1,7 @@
 """Turns typed messages into JSON and back."""
 
 import json
-from typing import TypeVar
+from typing import Any, TypeVar
 
 from cattrs.errors import BaseValidationError
 from cattrs.preconf.json import make_converter
@@ -19,6 +19,20 @@
 def decode_message(body: bytes, message_type: type[Message]) -> Message | None:
     """Returns the message in `body`, or None where it is not one."""
     try:
-        return _CONVERTER.structure(json.loads(body), message_type)
-    except (ValueError, TypeError, KeyError, BaseValidationError):
+        fields = json.loads(body)
+    except ValueError:
+        return None
+    return structure(fields, message_type)
+
+
+def unstructure(message: object) -> Any:
+    """Returns a message's fields as JSON has them."""
+    return _CONVERTER.unstructure(message)
+
+
+def structure(fields: Any, message_type: type[Message]) -> Message | None:
+    """Returns the message of these fields, or None where it is not one."""
+    try:
+        return _CONVERTER.structure(fields, message_type)
+    except (ValueError, TypeError, BaseValidationError):
         return None
--- a/packages/daemon/src/jacinthcroft_daemon/internal/peers/router.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/peers/router.py
@@ -5,6 +5,7 @@
 from typing import Any, Final, TypeVar
 
 from attrs import frozen
+from jacinthcroft_http import Headers, IncomingRequest, Response
 
 from jacinthcroft_daemon.internal.peers.client import reply_envelope
 from jacinthcroft_daemon.internal.peers.codec import (
@@ -12,7 +13,6 @@
     encode_message,
 )
 from jacinthcroft_daemon.internal.peers.signing import Envelope, Signer
-from jacinthcroft_http import Headers, IncomingRequest, Response
 
 _PREFIX: Final = '/peer/'
 QUESTION_LIMIT_BYTES: Final = 4_000_000
@@ -87,10 +87,12 @@
         signature = self._signer.sign(reply_envelope(asked), body)
         return Response(
             status=_OK,
-            headers=Headers((
-                ('content-type', 'application/json'),
-                ('x-peer-signature', signature),
-            )),
+            headers=Headers(
+                (
+                    ('content-type', 'application/json'),
+                    ('x-peer-signature', signature),
+                )
+            ),
             body=body,
         )
 
--- a/packages/daemon/src/jacinthcroft_daemon/internal/peers/signing.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/peers/signing.py
@@ -40,14 +40,16 @@
 
     def sign(self, envelope: Envelope, body: bytes) -> str:
         """Returns the hexadecimal signature."""
-        described = '\n'.join((
-            envelope.direction,
-            envelope.kind,
-            envelope.sender,
-            envelope.recipient,
-            envelope.nonce,
-            repr(envelope.sent_at),
-        ))
+        described = '\n'.join(
+            (
+                envelope.direction,
+                envelope.kind,
+                envelope.sender,
+                envelope.recipient,
+                envelope.nonce,
+                repr(envelope.sent_at),
+            )
+        )
         digest = hmac.new(self._secret, described.encode(), hashlib.sha256)
         digest.update(b'\n')
         digest.update(body)
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/admission.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/admission.py
@@ -11,7 +11,6 @@
 from typing import Final
 
 from attrs import frozen
-
 from jacinthcroft_config import (
     Access,
     MethodNotAllowed,
@@ -29,10 +28,11 @@
     Refusal,
 )
 from jacinthcroft_decisions.coordination import (
-    KeyExpired,
-    KeyInvalid,
-    KeyUsable,
-    judge_key,
+    CoordinationTerms,
+    KeyAccepted,
+    KeyInFuture,
+    KeyTooOld,
+    key_time_ms,
 )
 from jacinthcroft_http import IncomingRequest, now
 
@@ -108,10 +108,13 @@
             return False
         if work.team is None:
             return True
-        return self._view.teams.team_for(
-            work.service.name,
-            work.key_hash,
-        ) is not None
+        return (
+            self._view.teams.team_for(
+                work.service.name,
+                work.key_hash,
+            )
+            is not None
+        )
 
     def _admit_matched(
         self,
@@ -122,7 +125,7 @@
         idempotency_key = None
         refused_outcome = Outcome.NOT_RUN
         if not match.route.is_idempotent:
-            judged = _judge_idempotency_key(request)
+            judged = _judge_idempotency_key(request, self._view.terms)
             if isinstance(judged, Refusal):
                 return judged
             idempotency_key = judged
@@ -130,12 +133,9 @@
         caller = self._identify(request, match, refused_outcome)
         if isinstance(caller, Refusal):
             return caller
-        service = self._view.service(match.service)
-        if service is None:
-            raise AssertionError(f'route without service: {match.service}')
         return Work(
             request_id=request_id,
-            service=service,
+            service=match.service,
             route=match.route,
             team=caller.team,
             key_hash=caller.key_hash,
@@ -162,7 +162,7 @@
                 'send the key as Authorization: Bearer <key>',
             )
         key_hash = hash_key(key)
-        team = self._view.teams.team_for(match.service, key_hash)
+        team = self._view.teams.team_for(match.service.name, key_hash)
         if team is None:
             return Refusal(
                 Reason.KEY_UNKNOWN,
@@ -212,30 +212,36 @@
     credentials = request.headers.get('authorization') or ''
     if not credentials.lower().startswith(_BEARER):
         return None
-    return credentials[len(_BEARER):].strip() or None
+    return credentials[len(_BEARER) :].strip() or None
 
 
-def _judge_idempotency_key(request: IncomingRequest) -> str | Refusal:
+def _judge_idempotency_key(
+    request: IncomingRequest,
+    terms: CoordinationTerms,
+) -> str | Refusal:
     key = request.headers.get('idempotency-key')
     if key is None:
         return _not_run(
             Reason.IDEMPOTENCY_KEY_MISSING,
             'this work must not repeat: send Idempotency-Key with a UUIDv7',
         )
-    judged = judge_key(key, time.time())
-    if isinstance(judged, KeyUsable):
-        return judged.key
-    if isinstance(judged, KeyExpired):
+    judged = key_time_ms(key, time.time(), terms)
+    if isinstance(judged, KeyAccepted):
+        return judged.canonical
+    if isinstance(judged, KeyTooOld):
         return Refusal(
             Reason.IDEMPOTENCY_KEY_EXPIRED,
             Outcome.UNKNOWN,
             'the key is too old to know whether it ran',
         )
-    if isinstance(judged, KeyInvalid):
-        return _not_run(Reason.IDEMPOTENCY_KEY_INVALID, judged.detail)
+    if isinstance(judged, KeyInFuture):
+        return _not_run(
+            Reason.IDEMPOTENCY_KEY_INVALID,
+            "the key's time is in the future: set the caller's clock",
+        )
     return _not_run(
         Reason.IDEMPOTENCY_KEY_INVALID,
-        "the key's time is in the future: set the caller's clock",
+        'the key is no UUIDv7: make a new one for each piece of work',
     )
 
 
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/attempt.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/attempt.py
@@ -5,9 +5,11 @@
 from typing import Final
 
 from attrs import frozen
-
+from jacinthcroft_config import Address
+from jacinthcroft_daemon.internal.fleet.view import FleetView
 from jacinthcroft_daemon.internal.pipeline.admission import Admission, Work
 from jacinthcroft_daemon.internal.pipeline.bodies import RequestBody
+from jacinthcroft_daemon.internal.pipeline.reported_body import ReportedBody
 from jacinthcroft_daemon.internal.sharing.permits import PermitService
 from jacinthcroft_decisions.traffic import HeldPermit, RunOutcome, SpentToken
 from jacinthcroft_http import (
@@ -22,7 +24,6 @@
     strip_hop_by_hop,
 )
 
-_SERVER_ERROR: Final = 500
 _UNAVAILABLE: Final = 503
 _OWN_ANSWER_HEADERS: Final = (
     'x-boot-id',
@@ -81,11 +82,13 @@
 
     def __init__(
         self,
+        view: FleetView,
         admission: Admission,
         permits: PermitService,
         pool: ConnectionPool,
     ) -> None:
         """Checks with `admission` once more before the first byte."""
+        self._view = view
         self._admission = admission
         self._permits = permits
         self._pool = pool
@@ -100,7 +103,7 @@
     ) -> AttemptOutcome:
         """Sends the request once and returns how it went."""
         started_at = now()
-        outgoing = _outgoing(work, request, body, ticket)
+        outgoing = self._outgoing(work, request, body, ticket)
         try:
             outcome = await self._pool.send(
                 outgoing,
@@ -181,29 +184,12 @@
         return Delivered(
             answer.status,
             kept,
-            self._pass_on(answer, ticket, started_at),
+            ReportedBody(
+                answer,
+                lambda end: self._finish(ticket, end, started_at, answer),
+            ),
         )
 
-    async def _pass_on(
-        self,
-        answer: Answer,
-        ticket: Ticket,
-        started_at: float,
-    ) -> AsyncIterator[bytes]:
-        outcome = RunOutcome.CANCELLED
-        try:
-            async for chunk in answer.body:
-                yield chunk
-            outcome = RunOutcome.ANSWERED
-            if answer.status >= _SERVER_ERROR:
-                outcome = RunOutcome.SERVER_ERROR
-        except (ConnectionError, TimeoutError):
-            outcome = RunOutcome.RESET
-            raise
-        finally:
-            answer.close()
-            self._finish(ticket, outcome, started_at, answer)
-
     def _finish(
         self,
         ticket: Ticket,
@@ -220,26 +206,28 @@
             is_draining=headers.get('x-draining') == '1',
         )
 
-
-def _outgoing(
-    work: Work,
-    request: IncomingRequest,
-    body: RequestBody,
-    ticket: Ticket,
-) -> OutgoingRequest:
-    permit = ticket.permit.permit
-    remaining_ms = max(int((work.deadline - now()) * 1000), 1)
-    kept = strip_hop_by_hop(request.headers).without(*_OWN_REQUEST_HEADERS)
-    return OutgoingRequest(
-        host=permit.address_host,
-        port=permit.address_port,
-        method=request.method,
-        target=request.target,
-        headers=kept.with_added(
-            ('host', f'{permit.address_host}:{permit.address_port}'),
-            ('x-request-id', work.request_id),
-            ('x-team', work.team_name),
-            ('deadline-ms', str(remaining_ms)),
-        ),
-        body=body.stream(),
-    )
+    def _outgoing(
+        self,
+        work: Work,
+        request: IncomingRequest,
+        body: RequestBody,
+        ticket: Ticket,
+    ) -> OutgoingRequest:
+        permit = ticket.permit.permit
+        published = Address(permit.address_host, permit.address_port)
+        address = self._view.reachable(published)
+        remaining_ms = max(int((work.deadline - now()) * 1000), 1)
+        kept = strip_hop_by_hop(request.headers).without(*_OWN_REQUEST_HEADERS)
+        return OutgoingRequest(
+            host=address.host,
+            port=address.port,
+            method=request.method,
+            target=request.target,
+            headers=kept.with_added(
+                ('host', str(published)),
+                ('x-request-id', work.request_id),
+                ('x-team', work.team_name),
+                ('deadline-ms', str(remaining_ms)),
+            ),
+            body=body.stream(),
+        )
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/bodies.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/bodies.py
@@ -5,7 +5,6 @@
 from typing import Final
 
 from attrs import frozen
-
 from jacinthcroft_http import IncomingRequest
 
 # Larger bodies are streamed and their requests are not sent a second time.
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/callers.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/callers.py
@@ -37,8 +37,8 @@
         reporter: RequestReporter,
     ) -> None:
         """Puts the stages of the request path together."""
-        self._vm = settings.vm
-        self._limit = settings.queue_limit
+        self._vm = settings.vm.name
+        self._limit = settings.tunables.queue_limit
         self._admission = admission
         self._quarantine = quarantine
         self._runner = runner
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/reporting.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/reporting.py
@@ -3,7 +3,6 @@
 from collections import Counter
 
 from attrs import frozen
-
 from jacinthcroft_daemon.internal.pipeline.admission import Work
 from jacinthcroft_daemon.internal.pipeline.refusals import Refusal
 from jacinthcroft_daemon.internal.telemetry import log_event
--- a/packages/daemon/src/jacinthcroft_daemon/internal/platform/adapter.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/platform/adapter.py
@@ -9,7 +9,6 @@
 from typing import Protocol
 
 from attrs import frozen
-
 from jacinthcroft_config import Address
 
 
--- a/packages/daemon/src/jacinthcroft_daemon/internal/platform/http_adapter.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/platform/http_adapter.py
@@ -4,13 +4,6 @@
 from urllib.parse import quote
 
 from jacinthcroft_config import Address
-from jacinthcroft_daemon.internal.platform.adapter import (
-    NoNewer,
-    PlatformAway,
-    PlatformValue,
-    ReadOutcome,
-    platform_adapter,
-)
 from jacinthcroft_http import (
     Answer,
     ConnectionPool,
@@ -19,6 +12,14 @@
     PoolLimits,
 )
 
+from jacinthcroft_daemon.internal.platform.adapter import (
+    NoNewer,
+    PlatformAway,
+    PlatformValue,
+    ReadOutcome,
+    platform_adapter,
+)
+
 _NOT_MODIFIED = 304
 _OK = 200
 # Published values hold up to a megabyte; JSON escapes may double that.
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/claims.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/claims.py
@@ -5,10 +5,6 @@
 from collections.abc import Iterable
 from typing import Final
 
-from jacinthcroft_daemon.internal.fleet.view import FleetView
-from jacinthcroft_daemon.internal.sharing.coordination import (
-    CoordinationService,
-)
 from jacinthcroft_decisions.coordination import (
     Claim,
     ClaimUnavailable,
@@ -18,6 +14,11 @@
 )
 from jacinthcroft_http import now
 
+from jacinthcroft_daemon.internal.fleet.view import FleetView
+from jacinthcroft_daemon.internal.sharing.coordination import (
+    CoordinationService,
+)
+
 _CLAIM_ID_BYTES: Final = 12
 _SETTLE_TRIES: Final = 3
 _SETTLE_TIMEOUT_SECONDS: Final = 1.0
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/coordination.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/coordination.py
@@ -12,26 +12,28 @@
 from typing import Final
 
 from attrs import frozen
-
-from jacinthcroft_config import Settings
-from jacinthcroft_daemon.internal.fleet.view import FleetView
-from jacinthcroft_daemon.internal.peers import (
-    PeerClient,
-    PeerRouter,
-    PeerSilent,
+from jacinthcroft_config import Tunables
+from jacinthcroft_daemon.internal.sharing.tagging import (
+    TaggedMessage,
+    tag_message,
+    untag_message,
 )
 from jacinthcroft_decisions.coordination import (
     CoordinationMessage,
     Coordinator,
     Outgoing,
     Placement,
-    TaggedMessage,
     Witness,
-    tag_message,
-    untag_message,
 )
 from jacinthcroft_http import now
 
+from jacinthcroft_daemon.internal.fleet.view import FleetView
+from jacinthcroft_daemon.internal.peers import (
+    PeerClient,
+    PeerRouter,
+    PeerSilent,
+)
+
 BATCH_KIND: Final = 'coordination'
 _BATCH_TIMEOUT_SECONDS: Final = 1.0
 
@@ -49,14 +51,14 @@
     def __init__(
         self,
         view: FleetView,
-        settings: Settings,
+        tunables: Tunables,
         peers: PeerClient,
         incarnation: str,
         started_at: float,
     ) -> None:
         """Starts as a new incarnation that remembers nothing."""
         self._view = view
-        self._settings = settings
+        self._tunables = tunables
         self._peers = peers
         self._coordinator = Coordinator(
             view.vm,
@@ -92,11 +94,12 @@
         moment = now()
         self._coordinator.learn_history(earlier, moment)
         self._coordinator.adopt(self._view.placement, moment)
+        self._witness.learn_history(earlier)
         self._witness.adopt(self._view.placement, moment)
 
     async def run(self) -> None:
         """Sends what is due on every interval, for ever."""
-        interval = self._settings.coordination_interval_ms / 1000
+        interval = self._tunables.coordination_interval_ms / 1000
         while True:
             moment = now()
             self._spawn(self._coordinator.tick(moment), for_witness=False)
@@ -105,12 +108,14 @@
 
     async def release(self) -> None:
         """Gives all leases up, so that their shards move without a gap."""
-        await asyncio.gather(*(
-            self._send_batch(vm, messages, for_witness=False)
-            for vm, messages in _by_vm(
-                self._coordinator.release(now()),
-            ).items()
-        ))
+        await asyncio.gather(
+            *(
+                self._send_batch(vm, messages, for_witness=False)
+                for vm, messages in _by_vm(
+                    self._coordinator.release(now()),
+                ).items()
+            )
+        )
 
     async def ask_witness(
         self,
@@ -180,12 +185,16 @@
         return tuple(untag_message(tagged) for tagged in reply.messages)
 
     async def _answer_batch(self, sender: str, batch: Batch) -> Batch:
-        return Batch(tuple(
-            tag_message(
-                self._witness.handle(untag_message(tagged), now(), time.time()),
+        return Batch(
+            tuple(
+                tag_message(
+                    self._witness.handle(
+                        untag_message(tagged), now(), time.time()
+                    ),
+                )
+                for tagged in batch.messages
             )
-            for tagged in batch.messages
-        ))
+        )
 
 
 def _by_vm(
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/held_cells.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/held_cells.py
@@ -9,15 +9,7 @@
 from typing import Final
 
 from attrs import define, field, frozen
-
 from jacinthcroft_config import Service
-from jacinthcroft_daemon.internal.fleet.view import FleetView
-from jacinthcroft_daemon.internal.peers import PeerRouter
-from jacinthcroft_daemon.internal.sharing.coordination import (
-    CoordinationService,
-)
-from jacinthcroft_daemon.internal.sharing.probes import Prober
-from jacinthcroft_daemon.internal.telemetry import log_event
 from jacinthcroft_decisions.traffic import (
     Cell,
     Permit,
@@ -31,6 +23,14 @@
 )
 from jacinthcroft_http import now
 
+from jacinthcroft_daemon.internal.fleet.view import FleetView
+from jacinthcroft_daemon.internal.peers import PeerRouter
+from jacinthcroft_daemon.internal.sharing.coordination import (
+    CoordinationService,
+)
+from jacinthcroft_daemon.internal.sharing.probes import Prober
+from jacinthcroft_daemon.internal.telemetry import log_event
+
 ASK_KIND: Final = 'permit'
 REPORT_KIND: Final = 'reports'
 _TICK_SECONDS: Final = 0.05
@@ -219,4 +219,9 @@
                 refusal = PermitRefusal('no-capacity')
                 waiting.set_result(PermitReply(refusal=refusal))
         for event in held.cell.events():
-            log_event('info', event.name, cell=name, target=event.target)
+            log_event(
+                'warning',
+                type(event).__name__,
+                cell=name,
+                target=event.target,
+            )
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/permits.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/permits.py
@@ -11,8 +11,16 @@
 from typing import Final
 
 from attrs import define, field
-
 from jacinthcroft_config import Service
+from jacinthcroft_decisions.traffic import (
+    HeldPermit,
+    PermitAsk,
+    PermitPurse,
+    PermitReport,
+    RunOutcome,
+)
+from jacinthcroft_http import now
+
 from jacinthcroft_daemon.internal.fleet.view import FleetView
 from jacinthcroft_daemon.internal.peers import PeerSilent
 from jacinthcroft_daemon.internal.sharing.held_cells import (
@@ -24,14 +32,6 @@
     ReportBatchReply,
 )
 from jacinthcroft_daemon.internal.sharing.holders import HolderFinder
-from jacinthcroft_decisions.traffic import (
-    HeldPermit,
-    PermitAsk,
-    PermitPurse,
-    PermitReport,
-    RunOutcome,
-)
-from jacinthcroft_http import now
 
 # A holder that freezes is noticed within this time; the next candidate may
 # have taken over by then.
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/probes.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/probes.py
@@ -17,6 +17,8 @@
     now,
 )
 
+from jacinthcroft_daemon.internal.fleet.view import FleetView
+
 _PROBE_TIMEOUT_SECONDS: Final = 1.0
 _PROBE_ANSWER_BYTES: Final = 65_536
 _OK: Final = 200
@@ -25,8 +27,9 @@
 class Prober:
     """Runs probes in the background."""
 
-    def __init__(self, pool: ConnectionPool) -> None:
+    def __init__(self, view: FleetView, pool: ConnectionPool) -> None:
         """Probes over the same pool that requests use."""
+        self._view = view
         self._pool = pool
         self._running: set[asyncio.Task[None]] = set()
 
@@ -47,9 +50,10 @@
         if target is None:
             return
         started_at = now()
+        address = self._view.reachable(target.address)
         request = OutgoingRequest(
-            host=target.address.host,
-            port=target.address.port,
+            host=address.host,
+            port=address.port,
             method='GET',
             target='/health',
             headers=Headers((('host', str(target.address)),)),
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/quarantine.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/quarantine.py
@@ -8,6 +8,8 @@
 from typing import Final
 
 from attrs import frozen
+from jacinthcroft_decisions.traffic import Quarantine, QuarantineCache, Strike
+from jacinthcroft_http import now
 
 from jacinthcroft_daemon.internal.fleet.view import FleetView
 from jacinthcroft_daemon.internal.peers import (
@@ -20,8 +22,6 @@
 )
 from jacinthcroft_daemon.internal.sharing.holders import HolderFinder
 from jacinthcroft_daemon.internal.telemetry import log_event
-from jacinthcroft_decisions.traffic import Quarantine, QuarantineCache, Strike
-from jacinthcroft_http import now
 
 _STRIKE_KIND: Final = 'strike'
 _VERDICT_KIND: Final = 'quarantine'
--- /dev/null
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/tagging.py
@@ -0,0 +1,29 @@
+"""Tags coordination messages with their kind, so that one list holds all."""
+
+from typing import Any
+
+from attrs import frozen
+
+from jacinthcroft_daemon.internal.peers import structure, unstructure
+from jacinthcroft_decisions.coordination import MESSAGE_KINDS, kind_of
+
+
+@frozen
+class TaggedMessage:
+    """A message's kind and its fields as JSON has them."""
+
+    kind: str
+    fields: dict[str, Any]
+
+
+def tag_message(message: object) -> TaggedMessage:
+    """Returns a registered message with its kind."""
+    return TaggedMessage(kind_of(message), unstructure(message))
+
+
+def untag_message(tagged: TaggedMessage) -> Any:
+    """Returns the message, or None where this version does not know it."""
+    message_type = MESSAGE_KINDS.get(tagged.kind)
+    if message_type is None:
+        return None
+    return structure(tagged.fields, message_type)
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/tokens.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/tokens.py
@@ -9,14 +9,7 @@
 from typing import Final
 
 from attrs import define, frozen
-
 from jacinthcroft_config import Service, Team
-from jacinthcroft_daemon.internal.fleet.view import FleetView
-from jacinthcroft_daemon.internal.peers import PeerRouter, PeerSilent
-from jacinthcroft_daemon.internal.sharing.coordination import (
-    CoordinationService,
-)
-from jacinthcroft_daemon.internal.sharing.holders import HolderFinder
 from jacinthcroft_decisions.traffic import (
     SpentToken,
     TeamLedger,
@@ -26,6 +19,13 @@
 )
 from jacinthcroft_http import now
 
+from jacinthcroft_daemon.internal.fleet.view import FleetView
+from jacinthcroft_daemon.internal.peers import PeerRouter, PeerSilent
+from jacinthcroft_daemon.internal.sharing.coordination import (
+    CoordinationService,
+)
+from jacinthcroft_daemon.internal.sharing.holders import HolderFinder
+
 _KIND: Final = 'tokens'
 _ASK_TIMEOUT_SECONDS: Final = 0.5
 # While no VM holds the team's shard a new try is worth this pause.
@@ -138,12 +138,9 @@
         purse: TokenPurse,
     ) -> NoToken | None:
         asked_at = now()
-        ask = TokenAsk(
-            team_key=team_key,
-            vm=self._view.vm,
-            wanted=max(purse.wanted(asked_at), 1),
-            demand=purse.demand(asked_at),
-        )
+        ask = purse.ask(team_key, self._view.vm, asked_at)
+        if ask is None:
+            return NoToken(_MIN_PAUSE_SECONDS, has_holder=True)
         grant = await self._ask_holder(ask)
         if grant is None:
             return NoToken(_NO_HOLDER_PAUSE_SECONDS, has_holder=False)
--- a/packages/daemon/src/jacinthcroft_daemon/main.py
+++ b/packages/daemon/src/jacinthcroft_daemon/main.py
@@ -7,6 +7,7 @@
 import sys
 
 from jacinthcroft_config import Faults, Settings, load_settings
+
 from jacinthcroft_daemon.internal.app import VmProcess
 
 _EXIT_BAD_INPUT = 2
@@ -52,7 +53,7 @@
 
 def _read_secret(file_name: str, settings: Settings) -> bytes | None:
     try:
-        secret = pathlib.Path(settings.secret_file).read_bytes().strip()
+        secret = pathlib.Path(settings.fleet.secret_file).read_bytes().strip()
     except OSError as error:
         sys.stderr.write(
             f'{file_name}:fleet.secret_file: cannot be read '
