Add the coordination decisions, thin

Cause: the daemon needs the whole API to build on. Change: placement, messages, witness, coordinator, claim, keys and freshness. Not run: losses, restarts, list changes.

--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/coordination.py
@@ -0,0 +1,117 @@
+"""Leases of shards, claims of idempotency keys, and freshness."""
+
+from jacinthcroft_decisions.internal.coordination.claims import (
+    Claim,
+    ClaimAnswered,
+    ClaimGranted,
+    ClaimRunning,
+    ClaimUnavailable,
+    ClaimUnknown,
+    ClaimVerdict,
+)
+from jacinthcroft_decisions.internal.coordination.coordinator import (
+    Coordinator,
+)
+from jacinthcroft_decisions.internal.coordination.freshness import (
+    Freshness,
+    HeardFrom,
+)
+from jacinthcroft_decisions.internal.coordination.history_messages import (
+    CoordinationMessage,
+    CoordinationReply,
+    CoordinationRequest,
+    HistoryReply,
+    HistoryRequest,
+    Outgoing,
+)
+from jacinthcroft_decisions.internal.coordination.keys import (
+    KeyAccepted,
+    KeyInFuture,
+    KeyInvalid,
+    KeyTime,
+    KeyTooOld,
+    key_time_ms,
+)
+from jacinthcroft_decisions.internal.coordination.kinds import (
+    MESSAGE_KINDS,
+    kind_of,
+)
+from jacinthcroft_decisions.internal.coordination.messages import (
+    ClaimReply,
+    ClaimRequest,
+    FenceReply,
+    FenceRequest,
+    InstallReply,
+    InstallRequest,
+    LeaseAction,
+    LeaseReply,
+    LeaseRequest,
+    LeaseView,
+    Outcome,
+    ReadBackReply,
+    ReadBackRequest,
+    SettleReply,
+    SettleRequest,
+    ShardView,
+)
+from jacinthcroft_decisions.internal.coordination.placement import Placement
+from jacinthcroft_decisions.internal.coordination.records import (
+    ClaimRecord,
+    ClaimState,
+    Header,
+    RecordedAnswer,
+)
+from jacinthcroft_decisions.internal.coordination.terms import (
+    CoordinationTerms,
+)
+from jacinthcroft_decisions.internal.coordination.witness import Witness
+
+__all__ = (
+    'Claim',
+    'ClaimAnswered',
+    'ClaimGranted',
+    'ClaimRunning',
+    'ClaimUnavailable',
+    'ClaimUnknown',
+    'ClaimVerdict',
+    'Coordinator',
+    'Freshness',
+    'HeardFrom',
+    'CoordinationMessage',
+    'CoordinationReply',
+    'CoordinationRequest',
+    'HistoryReply',
+    'HistoryRequest',
+    'Outgoing',
+    'KeyAccepted',
+    'KeyInFuture',
+    'KeyInvalid',
+    'KeyTime',
+    'KeyTooOld',
+    'key_time_ms',
+    'MESSAGE_KINDS',
+    'kind_of',
+    'ClaimReply',
+    'ClaimRequest',
+    'FenceReply',
+    'FenceRequest',
+    'InstallReply',
+    'InstallRequest',
+    'LeaseAction',
+    'LeaseReply',
+    'LeaseRequest',
+    'LeaseView',
+    'Outcome',
+    'ReadBackReply',
+    'ReadBackRequest',
+    'SettleReply',
+    'SettleRequest',
+    'ShardView',
+    'Placement',
+    'ClaimRecord',
+    'ClaimState',
+    'Header',
+    'RecordedAnswer',
+    'CoordinationTerms',
+    'Witness',
+)
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/candidacy.py
@@ -0,0 +1,118 @@
+"""A VM's candidacy for one shard under one list revision.
+
+It joins the candidate's lease with the activation that has to precede it
+where witnesses are not installed yet.
+"""
+
+from collections.abc import Iterator
+
+from attrs import define, field
+
+from jacinthcroft_decisions.internal.coordination.activation import Activation
+from jacinthcroft_decisions.internal.coordination.history import (
+    PlacementHistory,
+)
+from jacinthcroft_decisions.internal.coordination.history_messages import (
+    CoordinationReply,
+    Outgoing,
+)
+from jacinthcroft_decisions.internal.coordination.holds import ShardHold
+from jacinthcroft_decisions.internal.coordination.messages import (
+    FenceReply,
+    InstallReply,
+    LeaseAction,
+    LeaseReply,
+    LeaseRequest,
+)
+from jacinthcroft_decisions.internal.coordination.placement import Placement
+
+
+@define
+class Candidacy:
+    """One shard's lease and activation, as its candidate sees them.
+
+    `sequence` numbers the lease requests of the VM's incarnation.
+    """
+
+    shard: int
+    placement: Placement
+    hold: ShardHold
+    vm: str
+    incarnation: str
+    sequence: Iterator[int]
+    _activation: Activation | None = field(default=None, init=False)
+
+    @property
+    def needs_history(self) -> bool:
+        """Whether no known earlier list was in force."""
+        return self._activation is not None and self._activation.needs_history
+
+    def requests(
+        self,
+        history: PlacementHistory,
+        is_history_complete: bool,
+        now: float,
+    ) -> tuple[Outgoing, ...]:
+        """Returns the lease and activation requests that are due."""
+        due: tuple[Outgoing, ...] = ()
+        is_acting = self.hold.is_acting(now)
+        if self.hold.is_due(now):
+            action = LeaseAction.ACQUIRE if is_acting else LeaseAction.LOOK
+            due = self._ask(action)
+        if not is_acting:
+            return due
+        activation = self._running_activation()
+        if activation is None:
+            return due
+        return due + activation.requests(history, is_history_complete, now)
+
+    def receive(
+        self,
+        sender: str,
+        reply: CoordinationReply,
+        sent_at: float,
+        now: float,
+    ) -> None:
+        """Takes a witness's reply to a request sent at `sent_at`."""
+        if isinstance(reply, LeaseReply):
+            self.hold.receive(sender, reply, sent_at, now)
+        elif self._activation is None:
+            return
+        elif isinstance(reply, FenceReply):
+            self._activation.receive_fence(sender, reply, now)
+        elif isinstance(reply, InstallReply):
+            self._activation.receive_install(sender, reply)
+
+    def release(self, now: float) -> tuple[Outgoing, ...]:
+        """Gives the lease up; returns what tells its witnesses."""
+        was_asked_for = self.hold.was_asked_for
+        self.hold.release(now)
+        return self._ask(LeaseAction.RELEASE) if was_asked_for else ()
+
+    def _running_activation(self) -> Activation | None:
+        """Starts, goes on with or ends the activation as needed."""
+        if not self.hold.is_driving:
+            return None
+        if self._activation is None:
+            self._activation = Activation(
+                self.shard,
+                self.placement,
+                self.vm,
+                self.incarnation,
+                self.hold.terms,
+            )
+        if self._activation.is_finished:
+            self.hold.is_driving = False
+            self._activation = None
+        return self._activation
+
+    def _ask(self, action: LeaseAction) -> tuple[Outgoing, ...]:
+        message = LeaseRequest(
+            self.shard,
+            self.placement.revision,
+            self.vm,
+            self.incarnation,
+            next(self.sequence),
+            action,
+        )
+        return tuple(Outgoing(vm, message) for vm in self.hold.witnesses)
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/claim_votes.py
@@ -0,0 +1,128 @@
+"""How a witness votes on claims of idempotency keys: write once per key."""
+
+from attrs import frozen
+
+from jacinthcroft_decisions.internal.coordination.keys import thing_key_time
+from jacinthcroft_decisions.internal.coordination.messages import (
+    ClaimRequest,
+    Outcome,
+    SettleRequest,
+)
+from jacinthcroft_decisions.internal.coordination.records import (
+    ClaimRecord,
+    ClaimState,
+    RecordedAnswer,
+)
+from jacinthcroft_decisions.internal.coordination.shard_memory import (
+    ShardMemory,
+)
+from jacinthcroft_decisions.internal.coordination.terms import (
+    CoordinationTerms,
+)
+
+
+@frozen
+class ClaimVote:
+    """A witness's vote, with the recorded answer if there is one."""
+
+    outcome: Outcome
+    answer: RecordedAnswer | None = None
+
+
+def vote_on_claim(
+    memory: ShardMemory,
+    request: ClaimRequest,
+    wall: float,
+    terms: CoordinationTerms,
+) -> ClaimVote:
+    """Records the claim if the key is free, else tells what stands there."""
+    record = memory.records.get(request.key)
+    if record is not None and record.is_live:
+        return _vote_on_live(record, request, wall, terms)
+    refusal = _refusal(memory, request, wall, terms)
+    if refusal is not None:
+        return ClaimVote(refusal)
+    released = record.released if record else ()
+    memory.records[request.key] = ClaimRecord(
+        key=request.key,
+        claimer=request.claimer,
+        state=ClaimState.CLAIMED,
+        created_wall=wall,
+        released=released,
+    )
+    return ClaimVote(Outcome.DONE)
+
+
+def settle(memory: ShardMemory, request: SettleRequest, wall: float) -> None:
+    """Records how a claim ended, also when the claim itself never came.
+
+    Both ends are facts that no later message overturns, so they are recorded
+    under any revision.
+    """
+    record = memory.records.get(request.key)
+    if record is None:
+        record = ClaimRecord(
+            key=request.key,
+            claimer=request.claimer,
+            state=ClaimState.CLAIMED,
+            created_wall=wall,
+        )
+    if request.answer is None:
+        record = record.with_release(request.claimer)
+    else:
+        record = record.with_answer(request.claimer, request.answer)
+    memory.records[request.key] = record
+
+
+def is_kept(record: ClaimRecord, wall: float, terms: CoordinationTerms) -> bool:
+    """Whether a claim of the record's key might still be accepted."""
+    key_time = thing_key_time(record.key)
+    if key_time is None:
+        return False
+    return wall - key_time <= terms.record_retention
+
+
+def _vote_on_live(
+    record: ClaimRecord,
+    request: ClaimRequest,
+    wall: float,
+    terms: CoordinationTerms,
+) -> ClaimVote:
+    if record.state is ClaimState.ANSWERED:
+        return ClaimVote(Outcome.ANSWERED, record.answer)
+    if record.state is ClaimState.CONTESTED:
+        return ClaimVote(Outcome.UNKNOWN)
+    if request.claimer in record.released:
+        return ClaimVote(Outcome.RELEASED)
+    if record.claimer == request.claimer:
+        return ClaimVote(Outcome.DONE)
+    if wall - record.created_wall > terms.running_limit:
+        return ClaimVote(Outcome.UNKNOWN)
+    return ClaimVote(Outcome.RUNNING)
+
+
+def _refusal(
+    memory: ShardMemory,
+    request: ClaimRequest,
+    wall: float,
+    terms: CoordinationTerms,
+) -> Outcome | None:
+    """Returns why a free key may not be claimed here, if so.
+
+    The key's time is checked by this witness's own clock as well: records
+    are evicted and vouched for by that clock.
+    """
+    key_time = thing_key_time(request.key)
+    if key_time is None or key_time <= memory.vouch_from:
+        return Outcome.NOT_VOUCHED
+    age = wall - key_time
+    if age < -terms.clock_skew or age > terms.record_retention:
+        return Outcome.NOT_VOUCHED
+    record = memory.records.get(request.key)
+    if record is None:
+        is_full = len(memory.records) >= terms.records_per_shard
+        return Outcome.NOT_VOUCHED if is_full else None
+    if request.claimer in record.released:
+        return Outcome.RELEASED
+    is_worn = len(record.released) >= terms.releases_per_key
+    return Outcome.NOT_VOUCHED if is_worn else None
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/freshness.py
@@ -0,0 +1,96 @@
+"""Whether a VM has heard enough of the fleet to trust its configuration.
+
+VMs ask each other in turn and pass on whom they have heard, with ages in
+place of times, because clocks differ. An age counts from before the question
+was asked, so delays only make it older.
+"""
+
+import random
+from collections.abc import Iterable
+
+from attrs import define, field, frozen
+
+from jacinthcroft_decisions.internal.coordination.placement import Placement
+from jacinthcroft_decisions.internal.coordination.terms import (
+    CoordinationTerms,
+    majority_of,
+)
+
+_NEVER = float('-inf')
+
+
+@frozen
+class HeardFrom:
+    """How many seconds ago a VM was heard, directly or through others."""
+
+    vm: str
+    age: float
+
+
+@define
+class Freshness:
+    """What one VM has heard, on its own boot clock."""
+
+    vm: str
+    terms: CoordinationTerms
+    _platform_at: float = field(default=_NEVER, init=False)
+    _heard_at: dict[str, float] = field(factory=dict, init=False)
+
+    def platform_heard(self, asked_at: float) -> None:
+        """Notes that the platform answered a call made at `asked_at`."""
+        self._platform_at = max(self._platform_at, asked_at)
+
+    def heard(
+        self,
+        sender: str,
+        asked_at: float,
+        ages: Iterable[HeardFrom],
+        now: float,
+    ) -> None:
+        """Notes a VM's reply to a question asked at `asked_at`."""
+        self._note(sender, asked_at)
+        for known in ages:
+            self._note(known.vm, asked_at - max(known.age, 0))
+        self._forget(now)
+
+    def ages(self, now: float) -> tuple[HeardFrom, ...]:
+        """Returns whom this VM has heard lately, itself among them."""
+        others = (
+            HeardFrom(vm, now - heard_at)
+            for vm, heard_at in self._heard_at.items()
+            if self._is_recent(heard_at, now)
+        )
+        return (HeardFrom(self.vm, 0), *others)
+
+    def is_fresh(self, now: float, placement: Placement) -> bool:
+        """Whether the platform or a majority of the list was heard lately."""
+        if self._is_recent(self._platform_at, now):
+            return True
+        heard = {known.vm for known in self.ages(now)}
+        count = len(heard.intersection(placement.members))
+        return count >= majority_of(len(placement.members))
+
+    def choose_peers(
+        self,
+        rng: random.Random,
+        placement: Placement,
+        count: int,
+    ) -> tuple[str, ...]:
+        """Picks other VMs of the list to ask next."""
+        others = [vm for vm in placement.members if vm != self.vm]
+        return tuple(rng.sample(others, min(count, len(others))))
+
+    def _note(self, vm: str, heard_at: float) -> None:
+        if vm != self.vm:
+            known = self._heard_at.get(vm, _NEVER)
+            self._heard_at[vm] = max(known, heard_at)
+
+    def _is_recent(self, heard_at: float, now: float) -> bool:
+        return now - heard_at <= self.terms.freshness_limit
+
+    def _forget(self, now: float) -> None:
+        self._heard_at = {
+            vm: heard_at
+            for vm, heard_at in self._heard_at.items()
+            if self._is_recent(heard_at, now)
+        }
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/history_messages.py
@@ -0,0 +1,76 @@
+"""The question which earlier lists a VM knows, and envelopes of messages."""
+
+from typing import TypeAlias
+
+from attrs import frozen
+
+from jacinthcroft_decisions.internal.coordination.kinds import message_kind
+from jacinthcroft_decisions.internal.coordination.messages import (
+    ClaimReply,
+    ClaimRequest,
+    FenceReply,
+    FenceRequest,
+    InstallReply,
+    InstallRequest,
+    LeaseReply,
+    LeaseRequest,
+    Outcome,
+    ReadBackReply,
+    ReadBackRequest,
+    SettleReply,
+    SettleRequest,
+)
+
+NO_SHARD = -1
+
+
+@message_kind('history-request')
+@frozen
+class HistoryRequest:
+    """Asks a VM which list revisions it has met; concerns no one shard."""
+
+    revision: int
+    shard: int = NO_SHARD
+
+
+@message_kind('history-reply')
+@frozen
+class HistoryReply:
+    """Names the list revisions that a VM has met in its lifetime."""
+
+    revision: int
+    outcome: Outcome
+    newest: int
+    revisions: tuple[int, ...] = ()
+    shard: int = NO_SHARD
+
+
+CoordinationRequest: TypeAlias = (
+    FenceRequest
+    | InstallRequest
+    | LeaseRequest
+    | ReadBackRequest
+    | ClaimRequest
+    | SettleRequest
+    | HistoryRequest
+)
+
+CoordinationReply: TypeAlias = (
+    FenceReply
+    | InstallReply
+    | LeaseReply
+    | ReadBackReply
+    | ClaimReply
+    | SettleReply
+    | HistoryReply
+)
+
+CoordinationMessage: TypeAlias = CoordinationRequest | CoordinationReply
+
+
+@frozen
+class Outgoing:
+    """A request and the VM that it goes to, which may be the sender."""
+
+    to: str
+    message: CoordinationRequest
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/holds.py
@@ -0,0 +1,98 @@
+"""A holder candidate's side of one shard's lease."""
+
+from attrs import define, field
+
+from jacinthcroft_decisions.internal.coordination.messages import (
+    LeaseReply,
+    Outcome,
+)
+from jacinthcroft_decisions.internal.coordination.terms import (
+    CoordinationTerms,
+    majority_of,
+)
+
+_NEVER = float('-inf')
+
+
+@define
+class ShardHold:
+    """What a candidate knows of its lease under one list revision.
+
+    A lease counts from before each witness was asked, so the holder's clock
+    can only end it early. `until` carries over to the next revision, because
+    the witnesses of that one keep the driver's lease as well.
+    """
+
+    terms: CoordinationTerms
+    witnesses: tuple[str, ...]
+    rank: int
+    quiet_since: float
+    until: float = 0
+    since: float = 0
+    is_driving: bool = False
+    _asked_at: float = field(default=_NEVER, init=False)
+    _released_at: float = field(default=_NEVER, init=False)
+    _acks: dict[str, float] = field(factory=dict, init=False)
+
+    @property
+    def was_asked_for(self) -> bool:
+        """Whether witnesses may keep a lease for this VM."""
+        return bool(self._acks) or self.until > 0
+
+    def holds(self, now: float) -> bool:
+        """Whether the lease runs at this moment."""
+        return now < self.until
+
+    def is_acting(self, now: float) -> bool:
+        """Whether this candidate's turn has come.
+
+        A lower-ranked one waits until no holder was seen for a lease term
+        and its own share of delay.
+        """
+        if self.rank == 0 or self.holds(now):
+            return True
+        delay = self.terms.lease_term * (1 + self.rank)
+        return now - self.quiet_since >= delay
+
+    def is_due(self, now: float) -> bool:
+        """Whether to ask the witnesses now; notes that they were."""
+        interval = self.terms.renew_interval
+        if not self.is_acting(now):
+            interval = self.terms.lease_term / 2
+        if now - self._asked_at < interval:
+            return False
+        self._asked_at = now
+        return True
+
+    def receive(
+        self,
+        sender: str,
+        reply: LeaseReply,
+        sent_at: float,
+        now: float,
+    ) -> None:
+        """Takes a witness's reply to a request sent at `sent_at`."""
+        if reply.outcome is Outcome.HELD:
+            self.quiet_since = now
+        if reply.outcome is Outcome.NOT_INSTALLED:
+            self.is_driving = True
+        if reply.outcome is Outcome.DONE and sent_at > self._released_at:
+            self._acks[sender] = max(sent_at, self._acks.get(sender, _NEVER))
+            self._extend(now)
+
+    def release(self, now: float) -> None:
+        """Stops holding; votes from before this moment count no more."""
+        self._released_at = now
+        self._acks.clear()
+        self.until = 0
+        self.since = 0
+
+    def _extend(self, now: float) -> None:
+        needed = majority_of(len(self.witnesses))
+        votes = sorted(self._acks.values(), reverse=True)
+        if len(votes) < needed:
+            return
+        until = votes[needed - 1] + self.terms.holder_term
+        if not self.holds(now):
+            self.since = now
+        self.until = max(self.until, until)
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/leases.py
@@ -0,0 +1,84 @@
+"""The lease that a witness keeps for one shard."""
+
+from attrs import define
+
+from jacinthcroft_decisions.internal.coordination.messages import (
+    LeaseAction,
+    LeaseRequest,
+    LeaseView,
+    Outcome,
+)
+
+_NEVER = float('-inf')
+
+
+@define
+class WitnessedLease:
+    """One witness's vote for a holder; times are on the witness's clock.
+
+    An expired or released lease is kept as it was, because its sequence
+    number refuses late copies of the same holder's requests.
+    """
+
+    holder: str = ''
+    incarnation: str = ''
+    sequence: int = 0
+    until: float = _NEVER
+
+    def view(self, now: float) -> LeaseView | None:
+        """Returns the lease if it still runs."""
+        if now >= self.until:
+            return None
+        return LeaseView(self.holder, self.incarnation, self.until - now)
+
+    def is_free_for(self, holder: str, incarnation: str, now: float) -> bool:
+        """Whether nobody else's lease runs."""
+        return now >= self.until or self.is_of(holder, incarnation)
+
+    def is_of(self, holder: str, incarnation: str) -> bool:
+        """Whether the last vote went to this incarnation of the VM."""
+        return (self.holder, self.incarnation) == (holder, incarnation)
+
+    def keep_for_driver(
+        self, holder: str, incarnation: str, until: float
+    ) -> None:
+        """Votes for the driver of a new list unless another lease runs.
+
+        The vote blocks others while the driver's lease of the earlier list
+        may still run.
+        """
+        if not self.is_of(holder, incarnation):
+            self.sequence = 0
+        self.holder = holder
+        self.incarnation = incarnation
+        self.until = max(self.until, until)
+
+    def vote(self, request: LeaseRequest, now: float, until: float) -> Outcome:
+        """Carries a request out and tells what came of it."""
+        if request.action is LeaseAction.RELEASE:
+            return self._release(request, now)
+        if not self.is_free_for(request.holder, request.incarnation, now):
+            return Outcome.HELD
+        if request.action is LeaseAction.LOOK:
+            return Outcome.FREE
+        if self._is_late(request):
+            return Outcome.FREE
+        self._give(request, until)
+        return Outcome.DONE
+
+    def _give(self, request: LeaseRequest, until: float) -> None:
+        self.holder = request.holder
+        self.incarnation = request.incarnation
+        self.sequence = request.sequence
+        self.until = until
+
+    def _release(self, request: LeaseRequest, now: float) -> Outcome:
+        is_own = self.is_of(request.holder, request.incarnation)
+        if is_own and not self._is_late(request):
+            self.sequence = request.sequence
+            self.until = min(self.until, now)
+        return Outcome.FREE
+
+    def _is_late(self, request: LeaseRequest) -> bool:
+        is_own = self.is_of(request.holder, request.incarnation)
+        return is_own and request.sequence < self.sequence
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/messages.py
@@ -0,0 +1,220 @@
+"""What holders, witnesses and claimers say to each other.
+
+Each message names its shard and the list revision under which it was sent.
+A reply repeats both, and `newest` tells the highest revision that the
+witness has met for the shard, so that a sender with an old list learns of
+it.
+"""
+
+import enum
+
+from attrs import frozen
+
+from jacinthcroft_decisions.internal.coordination.kinds import message_kind
+from jacinthcroft_decisions.internal.coordination.records import (
+    ClaimRecord,
+    RecordedAnswer,
+)
+
+
+class Outcome(enum.Enum):
+    """What a witness made of a request.
+
+    `ABSTAINING`, `STALE` (the revision is fenced) and `NOT_INSTALLED` mean
+    that the witness did nothing. `HELD` names another live lease, `FREE`
+    answers a look that found none. The last five are about claims.
+    """
+
+    DONE = 'done'
+    ABSTAINING = 'abstaining'
+    STALE = 'stale'
+    NOT_INSTALLED = 'not-installed'
+    HELD = 'held'
+    FREE = 'free'
+    RUNNING = 'running'
+    ANSWERED = 'answered'
+    UNKNOWN = 'unknown'
+    NOT_VOUCHED = 'not-vouched'
+    RELEASED = 'released'
+
+
+class LeaseAction(enum.Enum):
+    """What a candidate wants of a lease."""
+
+    ACQUIRE = 'acquire'
+    LOOK = 'look'
+    RELEASE = 'release'
+
+
+@frozen
+class LeaseView:
+    """A lease as its witness sees it; `remaining` is in seconds."""
+
+    holder: str
+    incarnation: str
+    remaining: float
+
+
+@frozen
+class ShardView:
+    """All that a witness knows of a shard.
+
+    `fences` are the revisions it was fenced at, `installed` the revision it
+    last answered for (0 for none), `vouch_from` the key time in unix seconds
+    up to which records may be missing.
+    """
+
+    fences: tuple[int, ...]
+    installed: int
+    vouch_from: float
+    lease: LeaseView | None
+    records: tuple[ClaimRecord, ...]
+
+
+@message_kind('fence-request')
+@frozen
+class FenceRequest:
+    """Asks a witness of earlier lists to serve nothing below `revision`."""
+
+    shard: int
+    revision: int
+
+
+@message_kind('fence-reply')
+@frozen
+class FenceReply:
+    """Tells what the fenced witness knew; `view` is None if it refused."""
+
+    shard: int
+    revision: int
+    outcome: Outcome
+    newest: int
+    view: ShardView | None = None
+
+
+@message_kind('install-request')
+@frozen
+class InstallRequest:
+    """Asks a witness of `revision` to serve it from now on.
+
+    An installed witness also keeps a lease for the driver. `is_cold` says
+    that no earlier list is known: keys up to now are not vouched for.
+    """
+
+    shard: int
+    revision: int
+    driver: str
+    incarnation: str
+    vouch_from: float
+    is_cold: bool
+    records: tuple[ClaimRecord, ...]
+
+
+@message_kind('install-reply')
+@frozen
+class InstallReply:
+    """Tells whether the witness is installed."""
+
+    shard: int
+    revision: int
+    outcome: Outcome
+    newest: int
+
+
+@message_kind('lease-request')
+@frozen
+class LeaseRequest:
+    """Asks for a lease, looks at it or gives it up.
+
+    `sequence` rises with each request of an incarnation, so that a late
+    release does not end a lease that was acquired after it.
+    """
+
+    shard: int
+    revision: int
+    holder: str
+    incarnation: str
+    sequence: int
+    action: LeaseAction
+
+
+@message_kind('lease-reply')
+@frozen
+class LeaseReply:
+    """Answers a lease request; `lease` is what the witness now keeps."""
+
+    shard: int
+    revision: int
+    outcome: Outcome
+    newest: int
+    lease: LeaseView | None = None
+
+
+@message_kind('read-back-request')
+@frozen
+class ReadBackRequest:
+    """A restarted witness asks another one for what it has lost."""
+
+    shard: int
+    revision: int
+    incarnation: str
+
+
+@message_kind('read-back-reply')
+@frozen
+class ReadBackReply:
+    """Hands a restarted witness the other's knowledge."""
+
+    shard: int
+    revision: int
+    outcome: Outcome
+    newest: int
+    incarnation: str
+    view: ShardView | None = None
+
+
+@message_kind('claim-request')
+@frozen
+class ClaimRequest:
+    """Asks a witness to record that `claimer` alone may run the key."""
+
+    shard: int
+    revision: int
+    key: str
+    claimer: str
+
+
+@message_kind('claim-reply')
+@frozen
+class ClaimReply:
+    """Tells whether the claim was recorded, or what stands in its way."""
+
+    shard: int
+    revision: int
+    outcome: Outcome
+    newest: int
+    claimer: str
+    answer: RecordedAnswer | None = None
+
+
+@message_kind('settle-request')
+@frozen
+class SettleRequest:
+    """Ends a claim: by its answer, or without one when it was released."""
+
+    shard: int
+    revision: int
+    key: str
+    claimer: str
+    answer: RecordedAnswer | None = None
+
+
+@message_kind('settle-reply')
+@frozen
+class SettleReply:
+    """Tells whether the witness recorded the end of the claim."""
+
+    shard: int
+    revision: int
+    outcome: Outcome
+    newest: int
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness_handlers.py
@@ -0,0 +1,222 @@
+"""How a witness answers each kind of request: a registry by its class."""
+
+from collections.abc import Callable
+from typing import Any, TypeAlias
+
+from jacinthcroft_decisions.internal.coordination import claim_votes
+from jacinthcroft_decisions.internal.coordination.history_messages import (
+    CoordinationReply,
+    CoordinationRequest,
+    HistoryReply,
+    HistoryRequest,
+)
+from jacinthcroft_decisions.internal.coordination.messages import (
+    ClaimReply,
+    ClaimRequest,
+    FenceReply,
+    FenceRequest,
+    InstallReply,
+    InstallRequest,
+    LeaseAction,
+    LeaseReply,
+    LeaseRequest,
+    Outcome,
+    ReadBackReply,
+    ReadBackRequest,
+    SettleReply,
+    SettleRequest,
+)
+from jacinthcroft_decisions.internal.coordination.witness_state import (
+    WitnessState,
+)
+
+_Handler: TypeAlias = Callable[
+    [WitnessState, Any, float, float],
+    CoordinationReply,
+]
+
+_HANDLERS: dict[type, _Handler] = {}
+
+
+def handle(
+    state: WitnessState,
+    request: CoordinationRequest,
+    now: float,
+    wall: float,
+) -> CoordinationReply:
+    """Answers a request by the handler of its class."""
+    return _HANDLERS[type(request)](state, request, now, wall)
+
+
+def _handles(request_class: type) -> Callable[[_Handler], _Handler]:
+    def decorator(handler: _Handler) -> _Handler:
+        _HANDLERS[request_class] = handler
+        return handler
+
+    return decorator
+
+
+@_handles(HistoryRequest)
+def _tell_history(
+    state: WitnessState,
+    request: HistoryRequest,
+    now: float,
+    wall: float,
+) -> HistoryReply:
+    return HistoryReply(
+        request.revision,
+        Outcome.ABSTAINING if state.is_abstaining(now) else Outcome.DONE,
+        state.adopted,
+        tuple(sorted(state.revisions)),
+    )
+
+
+@_handles(FenceRequest)
+def _fence(
+    state: WitnessState,
+    request: FenceRequest,
+    now: float,
+    wall: float,
+) -> FenceReply:
+    memory = state.memory(request.shard)
+    outcome = Outcome.DONE
+    view = None
+    if state.is_abstaining(now):
+        outcome = Outcome.ABSTAINING
+    elif memory.is_stale(request.revision):
+        outcome = Outcome.STALE
+    else:
+        memory.fence(request.revision)
+        view = memory.view(now)
+    return FenceReply(
+        request.shard,
+        request.revision,
+        outcome,
+        state.newest(request.shard),
+        view,
+    )
+
+
+@_handles(InstallRequest)
+def _install(
+    state: WitnessState,
+    request: InstallRequest,
+    now: float,
+    wall: float,
+) -> InstallReply:
+    memory = state.memory(request.shard)
+    outcome = _judge(state, request.shard, request.revision, now)
+    is_known = memory.is_recovered or state.is_long_up(now)
+    if outcome is Outcome.NOT_INSTALLED and is_known:
+        outcome = Outcome.DONE
+        vouch_from = max(request.vouch_from, state.start_wall_limit)
+        if request.is_cold:
+            vouch_from = max(vouch_from, wall + state.terms.vouch_margin)
+        memory.install(request, vouch_from)
+        if memory.lease.is_free_for(request.driver, request.incarnation, now):
+            memory.lease.keep_for_driver(
+                request.driver,
+                request.incarnation,
+                now + state.terms.lease_term,
+            )
+    return InstallReply(
+        request.shard,
+        request.revision,
+        outcome,
+        state.newest(request.shard),
+    )
+
+
+@_handles(LeaseRequest)
+def _lease(
+    state: WitnessState,
+    request: LeaseRequest,
+    now: float,
+    wall: float,
+) -> LeaseReply:
+    memory = state.memory(request.shard)
+    outcome = _judge(state, request.shard, request.revision, now)
+    if request.action is LeaseAction.RELEASE or outcome is Outcome.DONE:
+        until = now + state.terms.lease_term
+        outcome = memory.lease.vote(request, now, until)
+    return LeaseReply(
+        request.shard,
+        request.revision,
+        outcome,
+        state.newest(request.shard),
+        memory.lease.view(now),
+    )
+
+
+@_handles(ReadBackRequest)
+def _read_back(
+    state: WitnessState,
+    request: ReadBackRequest,
+    now: float,
+    wall: float,
+) -> ReadBackReply:
+    is_abstaining = state.is_abstaining(now)
+    return ReadBackReply(
+        request.shard,
+        request.revision,
+        Outcome.ABSTAINING if is_abstaining else Outcome.DONE,
+        state.newest(request.shard),
+        request.incarnation,
+        None if is_abstaining else state.memory(request.shard).view(now),
+    )
+
+
+@_handles(ClaimRequest)
+def _claim(
+    state: WitnessState,
+    request: ClaimRequest,
+    now: float,
+    wall: float,
+) -> ClaimReply:
+    memory = state.memory(request.shard)
+    outcome = _judge(state, request.shard, request.revision, now)
+    answer = None
+    if outcome is Outcome.DONE:
+        vote = claim_votes.vote_on_claim(memory, request, wall, state.terms)
+        outcome = vote.outcome
+        answer = vote.answer
+    return ClaimReply(
+        request.shard,
+        request.revision,
+        outcome,
+        state.newest(request.shard),
+        request.claimer,
+        answer,
+    )
+
+
+@_handles(SettleRequest)
+def _settle(
+    state: WitnessState,
+    request: SettleRequest,
+    now: float,
+    wall: float,
+) -> SettleReply:
+    claim_votes.settle(state.memory(request.shard), request, wall)
+    return SettleReply(
+        request.shard,
+        request.revision,
+        Outcome.DONE,
+        state.newest(request.shard),
+    )
+
+
+def _judge(
+    state: WitnessState,
+    shard: int,
+    revision: int,
+    now: float,
+) -> Outcome:
+    """Tells whether the witness answers for the shard at the revision."""
+    memory = state.memory(shard)
+    if state.is_abstaining(now):
+        return Outcome.ABSTAINING
+    if memory.is_stale(revision):
+        return Outcome.STALE
+    is_installed = memory.installed == revision
+    return Outcome.DONE if is_installed else Outcome.NOT_INSTALLED
