--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell.py
@@ -0,0 +1,167 @@
+"""A service's targets under their one holder: who may run what where.
+
+The holder grants permits under its lease. A permit takes a slot of its
+target until it is returned, or else until the latest moment at which a run
+begun on it can still go on, so that a target never has more requests than
+slots, whatever messages are lost, late or doubled.
+
+A new holder does not know its predecessor's permits. They have expired with
+the predecessor's lease, and the runs begun on them end within the service's
+longest deadline; until then the new holder grants nothing, unless the
+predecessor handed over what it knew (`CellHandover`). Targets that it sees
+for the first time are treated as cold.
+"""
+
+from collections.abc import Collection
+from random import Random
+from typing import Self
+
+from jacinthcroft_config import Service
+
+from jacinthcroft_decisions.internal.traffic.ask_queue import AskQueue
+from jacinthcroft_decisions.internal.traffic.cell_outcomes import (
+    CellEvent,
+    Granted,
+    QueueFull,
+    TargetView,
+)
+from jacinthcroft_decisions.internal.traffic.cell_views import view_targets
+from jacinthcroft_decisions.internal.traffic.permit_issuer import PermitIssuer
+from jacinthcroft_decisions.internal.traffic.permit_messages import (
+    CellHandover,
+    PermitAsk,
+    PermitRenewal,
+    PermitReport,
+)
+from jacinthcroft_decisions.internal.traffic.probe_plan import ProbePlan
+from jacinthcroft_decisions.internal.traffic.target_choice import TargetChoice
+from jacinthcroft_decisions.internal.traffic.target_pool import TargetPool
+
+
+class Cell:
+    """The holder's side of one cell."""
+
+    def __init__(
+        self,
+        pool: TargetPool,
+        issuer: PermitIssuer,
+        choice: TargetChoice,
+    ) -> None:
+        """Joins the parts; use `from_config`."""
+        self._pool = pool
+        self._issuer = issuer
+        self._choice = choice
+        self._queue = AskQueue()
+        self._probes = ProbePlan()
+
+    @classmethod
+    def from_config(
+        cls,
+        service: Service,
+        held_since: float,
+        incarnation: str,
+        random: Random,
+        zones_out: Collection[str] = (),
+        handover: CellHandover | None = None,
+    ) -> Self:
+        """Creates the cell of a holder whose lease began at `held_since`."""
+        pool = TargetPool(random)
+        pool.reconfigure(service, zones_out, held_since)
+        issuer = PermitIssuer(service, held_since, incarnation, pool)
+        if handover is not None:
+            issuer.take_over(handover, held_since)
+        return cls(pool, issuer, TargetChoice(pool, random))
+
+    def health_view(self, now: float) -> tuple[TargetView, ...]:
+        """Returns every listed target as the cell sees it."""
+        return view_targets(self._pool, now)
+
+    def reconfigure(
+        self,
+        service: Service,
+        zones_out: Collection[str],
+        now: float,
+    ) -> None:
+        """Puts a newer service file or VM list in force."""
+        self._pool.reconfigure(service, zones_out, now)
+        self._issuer.reconfigure(service)
+
+    def ask(self, ask: PermitAsk, now: float) -> int | QueueFull:
+        """Queues an ask; returns the ticket under which it is granted."""
+        return self._queue.add(ask, now)
+
+    def forget(self, ticket: int) -> None:
+        """Drops an ask whose VM no longer waits."""
+        self._queue.forget(ticket)
+
+    def expired(self, now: float) -> tuple[int, ...]:
+        """Drops and returns the tickets that waited in vain."""
+        return self._queue.drop_expired(now)
+
+    def grants(self, now: float, lease_until: float) -> tuple[Granted, ...]:
+        """Grants what can be granted now under the lease."""
+        self._pool.tick(now)
+        self._issuer.note_lease(lease_until)
+        granted: list[Granted] = []
+        while self._issuer.may_issue(now):
+            pick = self._choice.next_pick(self._queue, now)
+            if pick is None:
+                break
+            permit = self._issuer.issue(pick.waiting, pick.target, now)
+            self._queue.serve(pick.waiting)
+            granted.append(Granted(pick.waiting.ticket, permit))
+        return tuple(granted)
+
+    def report(
+        self,
+        report: PermitReport,
+        now: float,
+    ) -> PermitRenewal | None:
+        """Takes in a report; none recalls the permit if it was kept."""
+        known = self._pool.targets.get(report.target)
+        if known is None:
+            return None
+        self._pool.note_signs(report, now)
+        use = known.slots.use_of(report.permit_id)
+        if use is None:
+            return None
+        if known.slots.is_new_run(report.permit_id, report.run_number):
+            known.slots.note_run(report.permit_id, report.run_number)
+            self._pool.observe(report, use, now)
+        if report.is_returned:
+            known.slots.release(report.permit_id)
+            return None
+        if len(self._queue):
+            # Others wait: whoever's turn it is gets the slot.
+            return None
+        return self._issuer.renew(report.permit_id, report.target, now)
+
+    def tick(self, now: float) -> None:
+        """Does what is due: frees overdue slots, judges, begins trials."""
+        self._pool.tick(now)
+        for target in self._pool.health.begin_trials(now):
+            self._probes.forget(target)
+
+    def probe_wanted(self, now: float) -> str | None:
+        """Returns the target that the one prober should ask now, if any."""
+        return self._probes.next_target(self._pool.health.due_trials(now), now)
+
+    def probe_result(
+        self,
+        target: str,
+        is_ok: bool,
+        latency: float,
+        now: float,
+    ) -> None:
+        """Takes in a probe's answer; a bad one holds back the trial."""
+        health = self._pool.health.roster.of(target)
+        if health is not None and self._probes.note(target, is_ok=is_ok):
+            health.postpone_trial(now)
+
+    def events(self) -> tuple[CellEvent, ...]:
+        """Returns what happened since the last call."""
+        return self._pool.drain_events()
+
+    def hand_over(self, now: float) -> CellHandover:
+        """Stops granting for good; returns what the successor needs."""
+        return self._issuer.hand_over(now)
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell_health.py
@@ -0,0 +1,168 @@
+"""The one judge of a cell's targets: ejection, its floor, readmission.
+
+At least `ceil(floor * active targets)` stay in use whatever their health.
+Worse targets are judged before better ones, and when fewer targets are
+active than before, the least bad ejected ones return.
+"""
+
+from collections.abc import Callable, Iterable
+from random import Random
+
+from jacinthcroft_decisions.internal.traffic.cell_outcomes import (
+    CellEvent,
+    EjectionWithheld,
+    PathBlocked,
+    TargetEjected,
+    TargetReadmitted,
+)
+from jacinthcroft_decisions.internal.traffic.detectors import (
+    DETECTORS,
+    CellNorm,
+    RunSample,
+)
+from jacinthcroft_decisions.internal.traffic.health_roster import HealthRoster
+from jacinthcroft_decisions.internal.traffic.path_blame import PathVerdict
+from jacinthcroft_decisions.internal.traffic.target_health import Standing
+
+EventSink = Callable[[CellEvent], None]
+
+
+class CellHealth:
+    """Draws the conclusions from what the VMs report."""
+
+    def __init__(self, random: Random, tell: EventSink) -> None:
+        """Starts without targets; `tell` gets the events."""
+        self.norm = CellNorm()
+        self.roster = HealthRoster(random)
+        self._tell = tell
+        self._withheld: set[str] = set()
+
+    def may_reach(self, target: str, vm: str, zone: str, now: float) -> bool:
+        """Whether a VM's path to an active target is not at fault.
+
+        A VM that fails to reach more targets than the floor lets go is
+        itself at fault, and keeps them all.
+        """
+        if not self.roster[target].paths.is_blocked(vm, zone, now):
+            return True
+        reachable = sum(
+            not self.roster[name].paths.is_blocked(vm, zone, now)
+            for name in self.roster.in_use
+        )
+        return reachable < self.roster.floor_count
+
+    def due_trials(self, now: float) -> tuple[str, ...]:
+        """Returns the ejected targets whose pause is over."""
+        return tuple(
+            name
+            for name in self.roster.standing_as(Standing.EJECTED)
+            if self.roster[name].retry_at <= now
+        )
+
+    def reconfigure(
+        self,
+        listed: Iterable[str],
+        active: Iterable[str],
+        floor: float,
+        now: float,
+    ) -> None:
+        """Takes over which targets exist, and which of them are active."""
+        self.roster.reconfigure(listed, active, floor)
+        self._withheld &= set(self.roster)
+        self._restore_floor(now)
+
+    def note(self, target: str, sample: RunSample, now: float) -> None:
+        """Takes in a finished use of an active target."""
+        health = self.roster[target]
+        usual = self.roster.usual_shares(target)
+        health.observe(sample, self.norm, usual, now)
+        if health.standing is Standing.TRIAL and health.has_passed_trial():
+            self._readmit(target, now, is_for_floor=False)
+
+    def judge(self, target: str, vm: str, now: float) -> None:
+        """Draws the conclusions from what a VM reported of a target."""
+        self._judge_path(target, vm, now)
+        self._judge([target], now)
+
+    def begin_trials(self, now: float) -> tuple[str, ...]:
+        """Puts the targets that are due on trial; returns them."""
+        due = self.due_trials(now)
+        for name in due:
+            self.roster[name].begin_trial(now)
+        return due
+
+    def tick(self, now: float) -> None:
+        """Judges again, since evidence fades and paths are forgotten."""
+        for name in self.roster:
+            self.roster[name].paths.forget_old(now)
+        self._withheld = {
+            withheld
+            for withheld in self._withheld
+            if self.roster[withheld].scores.tripped(now)
+        }
+        self._judge(self.roster.in_use, now)
+
+    def _judge_path(self, target: str, vm: str, now: float) -> None:
+        """Blocks a VM's own path when the rest sees no fault."""
+        health = self.roster[target]
+        if health.standing is not Standing.IN_USE:
+            return
+        if not health.paths.has_tripped(vm, now):
+            return
+        verdict = health.paths.verdict(now)
+        if not verdict.is_target:
+            self._block_paths(target, verdict, now)
+
+    def _judge(self, names: Iterable[str], now: float) -> None:
+        tripped = [
+            name
+            for name in names
+            if self.roster[name].standing is Standing.IN_USE
+            and self.roster[name].scores.tripped(now)
+        ]
+        tripped.sort(key=lambda name: -self.roster[name].scores.badness(now))
+        for name in tripped:
+            self._judge_target(name, now)
+
+    def _judge_target(self, target: str, now: float) -> None:
+        health = self.roster[target]
+        names = health.scores.tripped(now)
+        if all(DETECTORS[name].blames_path for name in names):
+            verdict = health.paths.verdict(now)
+            if not verdict.is_target:
+                self._block_paths(target, verdict, now)
+                health.scores.restart(names, 0, now)
+                return
+        if len(self.roster.in_use) > self.roster.floor_count:
+            health.eject(now)
+            reasons = health.reasons(now)
+            self._tell(TargetEjected(target, reasons, health.retry_at, now))
+        elif target not in self._withheld:
+            self._withheld.add(target)
+            self._tell(EjectionWithheld(target, names, now))
+
+    def _block_paths(
+        self,
+        target: str,
+        verdict: PathVerdict,
+        now: float,
+    ) -> None:
+        paths = (*sorted(verdict.vms), *sorted(verdict.zones))
+        if paths:
+            self.roster[target].paths.block(verdict, now)
+            self._tell(PathBlocked(target, paths, now))
+
+    def _readmit(self, target: str, now: float, *, is_for_floor: bool) -> None:
+        self.roster[target].readmit(now)
+        self._tell(TargetReadmitted(target, is_for_floor, now))
+
+    def _restore_floor(self, now: float) -> None:
+        out = [
+            name
+            for name in self.roster
+            if self.roster[name].standing is not Standing.IN_USE
+        ]
+        out.sort(key=lambda name: self.roster[name].rank_for_return)
+        missing = self.roster.floor_count - len(self.roster.in_use)
+        for name in out[: max(0, missing)]:
+            self._readmit(name, now, is_for_floor=True)
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell_target.py
@@ -0,0 +1,106 @@
+"""One target of a cell: its slots, its ramp and the signs of a cold start."""
+
+from jacinthcroft_config import Target, TargetLimits
+
+from jacinthcroft_decisions.internal.traffic.latency_track import LatencyTrack
+from jacinthcroft_decisions.internal.traffic.permit_messages import (
+    PermitReport,
+    RunOutcome,
+    TargetHandover,
+)
+from jacinthcroft_decisions.internal.traffic.ramp import Ramp
+from jacinthcroft_decisions.internal.traffic.slot_table import (
+    PermitUse,
+    SlotTable,
+)
+
+# A target that said that it drains gets nothing for this long.
+DRAIN_MEMORY_SECONDS = 30.0
+# Late answers may carry the boot id of a process that is gone.
+_BOOT_IDS_REMEMBERED = 8
+
+
+class CellTarget:
+    """What the cell's holder knows of a target's load."""
+
+    def __init__(
+        self,
+        target: Target,
+        limits: TargetLimits,
+        now: float,
+    ) -> None:
+        """Starts cold: a target seen for the first time may be."""
+        self.slots = SlotTable()
+        self.ramp = Ramp(limits, now)
+        self.latencies = LatencyTrack()
+        self._target = target
+        self._boot_ids: tuple[str, ...] = ()
+        self._drained_until: float = 0
+
+    @property
+    def target(self) -> Target:
+        """What the service file says."""
+        return self._target
+
+    def is_draining(self, now: float) -> bool:
+        """Whether the target asked for no new work."""
+        return now < self._drained_until
+
+    def reconfigure(
+        self,
+        target: Target,
+        limits: TargetLimits,
+        now: float,
+    ) -> None:
+        """Takes over the file; another address is another process."""
+        self.ramp.reconfigure(limits)
+        if target.address != self._target.address:
+            self.turn_cold(now)
+        self._target = target
+
+    def turn_cold(self, now: float) -> None:
+        """Begins the cold start again."""
+        self.ramp.turn_cold(now)
+        self.latencies.restart()
+
+    def handover(self, now: float) -> TargetHandover:
+        """Returns what the next holder needs to know."""
+        return TargetHandover(
+            name=self._target.name,
+            is_warm=not self.ramp.is_cold,
+            boot_ids=self._boot_ids,
+            held=self.slots.held(now),
+        )
+
+    def take_over(self, handover: TargetHandover, now: float) -> None:
+        """Takes over what the former holder knew."""
+        self._boot_ids = handover.boot_ids
+        if handover.is_warm:
+            self.ramp.set_warm()
+        for held in handover.held:
+            use = PermitUse(held.vm, held.zone, now)
+            self.slots.hold(held.permit_id, use, now + held.free_in)
+
+    def note_drain(self, now: float) -> None:
+        """Remembers that the target asked for no new work."""
+        self._drained_until = now + DRAIN_MEMORY_SECONDS
+
+    def note_boot_id(self, boot_id: str) -> bool:
+        """Remembers a boot id; returns whether the target restarted."""
+        if boot_id in self._boot_ids:
+            return False
+        is_restart = bool(self._boot_ids)
+        known = (*self._boot_ids, boot_id)
+        self._boot_ids = known[-_BOOT_IDS_REMEMBERED:]
+        if is_restart:
+            # The process that drained is gone.
+            self._drained_until = 0
+        return is_restart
+
+    def note_load(self, report: PermitReport, now: float) -> None:
+        """Moves the ramp by one finished use."""
+        if report.outcome is RunOutcome.SHED:
+            self.ramp.note_shed(now)
+        elif report.outcome is RunOutcome.ANSWERED:
+            self.ramp.note_answer(report.latency, now)
+            self.latencies.note(report.latency)
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell_views.py
@@ -0,0 +1,37 @@
+"""Shows a cell's targets for status and metrics."""
+
+from jacinthcroft_decisions.internal.traffic.cell_outcomes import (
+    TargetCondition,
+    TargetView,
+)
+from jacinthcroft_decisions.internal.traffic.target_health import Standing
+from jacinthcroft_decisions.internal.traffic.target_pool import TargetPool
+
+
+def view_targets(pool: TargetPool, now: float) -> tuple[TargetView, ...]:
+    """Returns every target as the cell sees it."""
+    return tuple(_view(pool, name, now) for name in pool.targets)
+
+
+def _view(pool: TargetPool, name: str, now: float) -> TargetView:
+    health = pool.health.roster.of(name)
+    return TargetView(
+        name=name,
+        state=_condition(pool, name, now),
+        running=pool.targets[name].slots.running,
+        allowed=pool.allowed(name, now),
+        reasons=health.reasons(now) if health else (),
+    )
+
+
+def _condition(pool: TargetPool, name: str, now: float) -> TargetCondition:
+    health = pool.health.roster.of(name)
+    if health is None or not pool.is_open(name, now):
+        return TargetCondition.LEAVING
+    if health.standing is not Standing.IN_USE:
+        return TargetCondition.EJECTED
+    if pool.targets[name].ramp.is_cold:
+        return TargetCondition.COLD
+    if health.scores.is_suspect(now):
+        return TargetCondition.SUSPECT
+    return TargetCondition.HEALTHY
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/detectors.py
@@ -0,0 +1,120 @@
+"""Registry of the signals that speak against a target.
+
+A detector looks at one finished use of a permit and says whether it speaks
+against the target (true), for it (false) or not at all (none). How often a
+sign must be seen is decided elsewhere, the same way for all detectors.
+"""
+
+import functools
+from collections.abc import Callable
+
+from attrs import frozen
+
+from jacinthcroft_decisions.internal.traffic.permit_messages import RunOutcome
+
+
+@frozen
+class RunSample:
+    """One finished use of a permit; times in seconds."""
+
+    vm: str
+    zone: str
+    outcome: RunOutcome
+    latency: float
+    granted_at: float
+    is_cold: bool = False
+
+
+@frozen
+class CellNorm:
+    """What is usual in the cell: answers past `stall_seconds` are slow."""
+
+    stall_seconds: float = float('inf')
+
+
+Verdict = bool | None
+SampleJudge = Callable[[RunSample, CellNorm], Verdict]
+
+
+@frozen
+class Detector:
+    """A kind of sign; `blames_path` where the network may be at fault."""
+
+    name: str
+    judge: SampleJudge
+    blames_path: bool
+
+
+DETECTORS: dict[str, Detector] = {}
+
+
+def detector(
+    name: str,
+    *,
+    blames_path: bool = False,
+) -> Callable[[SampleJudge], SampleJudge]:
+    """Registers a function as a detector."""
+    return functools.partial(_register, name, blames_path)
+
+
+def _register(
+    name: str,
+    blames_path: bool,
+    judge: SampleJudge,
+) -> SampleJudge:
+    DETECTORS[name] = Detector(name, judge, blames_path)
+    return judge
+
+
+@detector('errors')
+def is_error(sample: RunSample, norm: CellNorm) -> Verdict:
+    """Server errors; shed load is an answer of another kind."""
+    if sample.outcome is RunOutcome.SERVER_ERROR:
+        return True
+    return False if sample.outcome is RunOutcome.ANSWERED else None
+
+
+@detector('stalls', blames_path=True)
+def is_stall(sample: RunSample, norm: CellNorm) -> Verdict:
+    """Passed deadlines, and callers that gave up on a slow answer."""
+    if sample.outcome is RunOutcome.STALLED:
+        return True
+    if sample.outcome is RunOutcome.CANCELLED:
+        return True if sample.latency > norm.stall_seconds else None
+    return False if _is_whole_answer(sample) else None
+
+
+@detector('slowness', blames_path=True)
+def is_slow(sample: RunSample, norm: CellNorm) -> Verdict:
+    """Latencies far above the cell's own; a cold target may be slow."""
+    if sample.is_cold or not _is_whole_answer(sample):
+        return None
+    return sample.latency > norm.stall_seconds
+
+
+@detector('crossings')
+def is_crossing(sample: RunSample, norm: CellNorm) -> Verdict:
+    """Answers to another request."""
+    if sample.outcome is RunOutcome.CROSSED:
+        return True
+    return False if _is_whole_answer(sample) else None
+
+
+@detector('resets', blames_path=True)
+def is_reset(sample: RunSample, norm: CellNorm) -> Verdict:
+    """Connections that broke off."""
+    if sample.outcome is RunOutcome.RESET:
+        return True
+    return False if _is_whole_answer(sample) else None
+
+
+@detector('connects', blames_path=True)
+def is_connect_failure(sample: RunSample, norm: CellNorm) -> Verdict:
+    """Connections that could not be opened."""
+    if sample.outcome is RunOutcome.CONNECT_FAILED:
+        return True
+    return False if _is_whole_answer(sample) else None
+
+
+def _is_whole_answer(sample: RunSample) -> bool:
+    return sample.outcome in {RunOutcome.ANSWERED, RunOutcome.SERVER_ERROR}
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/path_blame.py
@@ -0,0 +1,200 @@
+"""Tells a sick target from a broken path to it.
+
+Signs that the network can cause are kept by the VM that saw them. Only when
+several zones, or most of the VMs that lately used the target, agree is the
+target at fault; else the VMs (or the zone) that fail to reach it are.
+"""
+
+import math
+from collections.abc import Iterable
+from random import Random
+
+from attrs import Factory, define, frozen
+
+from jacinthcroft_decisions.internal.traffic.backoff import Backoff
+from jacinthcroft_decisions.internal.traffic.evidence import (
+    TRIP_SCORE,
+    EvidenceScore,
+)
+
+# Signs lose half of their weight in this time.
+SIGN_HALF_LIFE_SECONDS = 5.0
+# A VM with less weight than this has not used the target lately.
+_MIN_WEIGHT = 0.25
+BLAMING_BAD_SHARE = 0.15
+_MIN_BAD_WEIGHT = 0.5
+_AGREEING_ZONES = 2
+_MIN_ZONE_VMS = 2
+FORGET_VM_SECONDS = 120.0
+
+
+@frozen
+class PathVerdict:
+    """Who is at fault: the target, or the paths of some VMs or zones."""
+
+    is_target: bool
+    vms: frozenset[str] = frozenset()
+    zones: frozenset[str] = frozenset()
+
+
+@define
+class _VmSigns:
+    """What one VM saw of the target, with fading weights."""
+
+    zone: str
+    score: EvidenceScore = Factory(EvidenceScore)
+    good: float = 0
+    bad: float = 0
+    noted_at: float = 0
+
+    def fade(self, now: float) -> None:
+        """Lowers the weights to those of now."""
+        elapsed = max(0, now - self.noted_at)
+        factor = math.pow(0.5, elapsed / SIGN_HALF_LIFE_SECONDS)
+        self.good *= factor
+        self.bad *= factor
+        self.noted_at = max(now, self.noted_at)
+
+    def is_reporting(self) -> bool:
+        """Whether the VM used the target lately."""
+        return self.good + self.bad >= _MIN_WEIGHT
+
+    def is_blaming(self) -> bool:
+        """Whether what the VM saw speaks against the target."""
+        return _is_blaming([self])
+
+
+@define
+class _Block:
+    """A path that gets no permits until `until`."""
+
+    until: float = 0
+    backoff: Backoff = Factory(Backoff)
+
+
+class PathBlame:
+    """The paths to one target."""
+
+    def __init__(self, random: Random) -> None:
+        """Starts with every path open."""
+        self._random = random
+        self._signs: dict[str, _VmSigns] = {}
+        self._blocked_vms: dict[str, _Block] = {}
+        self._blocked_zones: dict[str, _Block] = {}
+
+    def is_blocked(self, vm: str, zone: str, now: float) -> bool:
+        """Whether a VM gets no permits for the target."""
+        blocks = (self._blocked_vms.get(vm), self._blocked_zones.get(zone))
+        return any(block and now < block.until for block in blocks)
+
+    def has_tripped(self, vm: str, now: float) -> bool:
+        """Whether one VM alone has evidence enough against the target."""
+        signs = self._signs.get(vm)
+        return signs is not None and signs.score.is_tripped(now)
+
+    def verdict(self, now: float) -> PathVerdict:
+        """Judges by what all VMs saw lately."""
+        reporting = self._reporting(now)
+        blaming = {vm for vm in reporting if reporting[vm].is_blaming()}
+        zones = _by_zone(reporting.values())
+        blaming_zones = {zone for zone in zones if _zone_blames(zones[zone])}
+        if len(blaming_zones) >= _AGREEING_ZONES:
+            return PathVerdict(is_target=True)
+        if 2 * len(blaming) > len(reporting):
+            return PathVerdict(is_target=True)
+        whole_zones = {
+            zone for zone in blaming_zones if len(zones[zone]) >= _MIN_ZONE_VMS
+        }
+        outside = {vm for vm in blaming if self._zone(vm) not in whole_zones}
+        return PathVerdict(
+            is_target=False,
+            vms=frozenset(outside),
+            zones=frozenset(whole_zones),
+        )
+
+    def note(
+        self,
+        vm: str,
+        zone: str,
+        *,
+        is_bad: bool,
+        usual_share: float,
+        now: float,
+    ) -> None:
+        """Takes in what one VM saw."""
+        signs = self._signs.setdefault(vm, _VmSigns(zone))
+        signs.fade(now)
+        signs.score.note(is_bad=is_bad, usual_share=usual_share, now=now)
+        if is_bad:
+            signs.bad += 1
+        else:
+            signs.good += 1
+
+    def block(self, verdict: PathVerdict, now: float) -> None:
+        """Stops permits on the paths at fault, for longer each time."""
+        for vm in verdict.vms:
+            self._prolong(self._blocked_vms, vm, now)
+        for zone in verdict.zones:
+            self._prolong(self._blocked_zones, zone, now)
+        for vm, signs in self._signs.items():
+            if vm in verdict.vms or signs.zone in verdict.zones:
+                # The first bad sign after the pause blocks the path again.
+                signs.score.restart(TRIP_SCORE - 1, now)
+
+    def clear(self) -> None:
+        """Forgets the signs: the target was ejected or readmitted."""
+        self._signs.clear()
+
+    def forget_old(self, now: float) -> None:
+        """Drops VMs that have not used the target for long."""
+        oldest = now - FORGET_VM_SECONDS
+        for vm, signs in tuple(self._signs.items()):
+            if signs.noted_at < oldest:
+                self._signs.pop(vm)
+        for blocks in (self._blocked_vms, self._blocked_zones):
+            for path, block in tuple(blocks.items()):
+                if block.until < oldest:
+                    blocks.pop(path)
+
+    def _reporting(self, now: float) -> dict[str, _VmSigns]:
+        for signs in self._signs.values():
+            signs.fade(now)
+        return {
+            vm: known
+            for vm, known in self._signs.items()
+            if known.is_reporting()
+        }
+
+    def _zone(self, vm: str) -> str:
+        return self._signs[vm].zone
+
+    def _prolong(
+        self,
+        blocks: dict[str, _Block],
+        path: str,
+        now: float,
+    ) -> None:
+        block = blocks.setdefault(path, _Block())
+        if block.until <= now:
+            block.until = now + block.backoff.next_pause(now, self._random)
+
+
+def _by_zone(all_signs: Iterable[_VmSigns]) -> dict[str, list[_VmSigns]]:
+    zones: dict[str, list[_VmSigns]] = {}
+    for signs in all_signs:
+        zones.setdefault(signs.zone, []).append(signs)
+    return zones
+
+
+def _is_blaming(signs: list[_VmSigns]) -> bool:
+    bad = sum(sign.bad for sign in signs)
+    seen = sum(sign.bad + sign.good for sign in signs)
+    return bad >= _MIN_BAD_WEIGHT and bad >= BLAMING_BAD_SHARE * seen
+
+
+def _zone_blames(signs: list[_VmSigns]) -> bool:
+    """Whether most VMs of a zone, or several with weight, see the fault."""
+    blaming = sum(sign.is_blaming() for sign in signs)
+    if 2 * blaming > len(signs):
+        return True
+    return blaming >= _MIN_ZONE_VMS and _is_blaming(signs)
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/probe_plan.py
@@ -0,0 +1,47 @@
+"""Which target the cell's one prober asks next, and when.
+
+A probe costs a target about as much as a request, and its answer is only a
+hint: it may hold back the trial of an ejected target for a while, and never
+ends or causes an ejection by itself.
+"""
+
+from collections.abc import Iterable
+
+PROBE_INTERVAL_SECONDS = 0.5
+MAX_FAILED_PROBES = 2
+
+
+class ProbePlan:
+    """Probes of the targets whose trial is due."""
+
+    def __init__(self) -> None:
+        """Starts with no probe made."""
+        self._next_probe_at: float = 0
+        self._failed: dict[str, int] = {}
+        self._passed: set[str] = set()
+
+    def next_target(self, due: Iterable[str], now: float) -> str | None:
+        """Returns the target to probe now, and counts it as asked."""
+        if now < self._next_probe_at:
+            return None
+        open_targets = sorted(set(due) - self._passed)
+        if not open_targets:
+            return None
+        self._next_probe_at = now + PROBE_INTERVAL_SECONDS
+        return min(open_targets, key=self._failures)
+
+    def note(self, target: str, *, is_ok: bool) -> bool:
+        """Takes in an answer; returns whether the trial should wait."""
+        if is_ok:
+            self._passed.add(target)
+            return False
+        self._failed[target] = self._failures(target) + 1
+        return self._failed[target] <= MAX_FAILED_PROBES
+
+    def forget(self, target: str) -> None:
+        """Starts over for a target that was readmitted or tried."""
+        self._failed.pop(target, None)
+        self._passed.discard(target)
+
+    def _failures(self, target: str) -> int:
+        return self._failed.get(target, 0)
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/quarantine.py
@@ -0,0 +1,98 @@
+"""Stops requests that take down each target that runs them.
+
+A strike names the request's fingerprint and the target that was lost. After
+strikes on two targets the fingerprint's holder has it refused everywhere for
+a while; the VMs remember the refusal in a small cache.
+"""
+
+import hashlib
+from collections import OrderedDict
+
+from attrs import Factory, define, frozen
+
+LOST_TARGETS_LIMIT = 2
+QUARANTINE_SECONDS = 60.0
+STRIKE_MEMORY_SECONDS = 300.0
+MAX_FINGERPRINTS = 4096
+
+
+@frozen
+class Strike:
+    """A target was lost while it ran a request with this fingerprint."""
+
+    fingerprint: str
+    target: str
+
+
+@define
+class _Record:
+    lost: set[str] = Factory(set)
+    struck_at: float = 0
+    until: float = 0
+
+
+class Quarantine:
+    """The holder's strikes against fingerprints, the oldest dropped."""
+
+    def __init__(self, limit: int = MAX_FINGERPRINTS) -> None:
+        """Starts without strikes; remembers `limit` fingerprints."""
+        self._limit = limit
+        self._records: OrderedDict[str, _Record] = OrderedDict()
+
+    def is_quarantined(self, fingerprint: str, now: float) -> bool:
+        """Whether requests with this fingerprint are refused."""
+        return self.remaining(fingerprint, now) > 0
+
+    def remaining(self, fingerprint: str, now: float) -> float:
+        """Returns for how many more seconds they are refused."""
+        record = self._records.get(fingerprint)
+        return max(0, record.until - now) if record else 0
+
+    def strike(self, strike: Strike, now: float) -> float:
+        """Counts a lost target; returns the seconds of refusal, if any."""
+        record = self._records.get(strike.fingerprint)
+        if record is None or now - record.struck_at > STRIKE_MEMORY_SECONDS:
+            record = _Record()
+        self._records[strike.fingerprint] = record
+        self._records.move_to_end(strike.fingerprint)
+        record.lost.add(strike.target)
+        record.struck_at = now
+        if len(record.lost) >= LOST_TARGETS_LIMIT:
+            record.until = now + QUARANTINE_SECONDS
+        if len(self._records) > self._limit:
+            self._records.popitem(last=False)
+        return self.remaining(strike.fingerprint, now)
+
+
+class QuarantineCache:
+    """What a VM has heard of refused fingerprints."""
+
+    def __init__(self, limit: int = MAX_FINGERPRINTS) -> None:
+        """Starts empty; remembers `limit` fingerprints."""
+        self._limit = limit
+        self._until: OrderedDict[str, float] = OrderedDict()
+
+    def is_quarantined(self, fingerprint: str, now: float) -> bool:
+        """Whether requests with this fingerprint are refused."""
+        return now < self._until.get(fingerprint, now)
+
+    def add(self, fingerprint: str, remaining: float, now: float) -> None:
+        """Remembers a refusal for `remaining` seconds."""
+        self._until[fingerprint] = now + remaining
+        self._until.move_to_end(fingerprint)
+        if len(self._until) > self._limit:
+            self._until.popitem(last=False)
+
+
+def fingerprint(method: str, path: str, team: str, body_sha256: str) -> str:
+    """Returns the hexadecimal fingerprint of a request.
+
+    The parts are length-prefixed, so that no two requests share one by the
+    way their parts are joined.
+    """
+    digest = hashlib.sha256()
+    for part in (method, path, team, body_sha256):
+        encoded = part.encode()
+        digest.update(len(encoded).to_bytes(4, 'big'))
+        digest.update(encoded)
+    return digest.hexdigest()
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/ramp.py
@@ -0,0 +1,79 @@
+"""How many requests at once a target gets: cold start and shed load.
+
+A cold target gets what the service file says it bears until it has answered
+for long enough. Then the allowance grows by one for each round of answers,
+and shrinks when the target sheds load.
+"""
+
+from jacinthcroft_config import TargetLimits
+
+# An answer proves at most this long a stretch of the cold start.
+EVIDENCE_GAP_SECONDS = 0.5
+SHED_PAUSE_SECONDS = 0.1
+_SHED_FACTOR = 0.5
+
+
+class Ramp:
+    """One target's allowance of concurrent requests."""
+
+    def __init__(self, limits: TargetLimits, now: float) -> None:
+        """Starts cold."""
+        self._limits = limits
+        self._allowance = float(limits.cold_slots)
+        self._evidence_seconds: float = 0
+        self._proved_until = now
+        self._paused_until = now
+        self._is_cold = True
+
+    @property
+    def is_cold(self) -> bool:
+        """Whether the target is in cold start."""
+        return self._is_cold
+
+    def allowed(self, now: float) -> int:
+        """Returns the most concurrent requests for now."""
+        if now < self._paused_until:
+            return 0
+        ceiling = self._limits.slots
+        if self._is_cold:
+            ceiling = min(ceiling, self._limits.cold_slots)
+        return min(ceiling, max(1, int(self._allowance)))
+
+    def reconfigure(self, limits: TargetLimits) -> None:
+        """Puts new limits in force."""
+        self._limits = limits
+        self._allowance = min(self._allowance, float(limits.slots))
+
+    def turn_cold(self, now: float) -> None:
+        """Begins the cold start again."""
+        self._is_cold = True
+        self._evidence_seconds = 0
+        self._proved_until = now
+        self._allowance = float(self._limits.cold_slots)
+
+    def set_warm(self) -> None:
+        """Takes over the proof that another holder had."""
+        self._is_cold = False
+        self._allowance = float(self._limits.slots)
+
+    def note_answer(self, latency: float, now: float) -> None:
+        """Counts an answered request."""
+        if not self._is_cold:
+            self._grow()
+            return
+        longest = max(EVIDENCE_GAP_SECONDS, latency)
+        proved = min(longest, max(0, now - self._proved_until))
+        self._evidence_seconds += proved
+        self._proved_until = max(self._proved_until, now)
+        if self._evidence_seconds >= self._limits.cold_start_seconds:
+            self._is_cold = False
+            self._allowance = max(self._allowance, 1.0)
+
+    def note_shed(self, now: float) -> None:
+        """Lowers the allowance, and pauses for a moment."""
+        self._allowance = max(1.0, self._allowance * _SHED_FACTOR)
+        self._paused_until = now + SHED_PAUSE_SECONDS
+
+    def _grow(self) -> None:
+        grown = self._allowance + 1 / max(1.0, self._allowance)
+        self._allowance = min(float(self._limits.slots), grown)
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/scoreboard.py
@@ -0,0 +1,75 @@
+"""What all detectors together have against one target."""
+
+from collections.abc import Mapping
+
+from jacinthcroft_decisions.internal.traffic.detectors import (
+    DETECTORS,
+    Verdict,
+)
+from jacinthcroft_decisions.internal.traffic.evidence import (
+    TRIP_SCORE,
+    EvidenceScore,
+)
+
+# From this share of the evidence for an ejection on, a target is suspect.
+SUSPECT_SCORE = TRIP_SCORE / 2
+
+
+class Scoreboard:
+    """One score for each registered detector."""
+
+    def __init__(self) -> None:
+        """Starts with nothing against the target."""
+        self._scores = {name: EvidenceScore() for name in DETECTORS}
+
+    def badness(self, now: float) -> float:
+        """Returns the strongest evidence; from one on it suffices."""
+        strongest = max(score.value_at(now) for score in self._scores.values())
+        return strongest / TRIP_SCORE
+
+    def is_suspect(self, now: float) -> bool:
+        """Whether others should be preferred."""
+        return bool(self.suspicions(now))
+
+    def suspicions(self, now: float) -> tuple[str, ...]:
+        """Returns the detectors that speak against the target."""
+        return self._from(SUSPECT_SCORE, now)
+
+    def tripped(self, now: float) -> tuple[str, ...]:
+        """Returns the detectors whose evidence suffices for an ejection."""
+        return self._from(TRIP_SCORE, now)
+
+    def bad_share(self, name: str) -> float:
+        """Returns the share of bad signs that one detector sees."""
+        return self._scores[name].bad_share
+
+    def note(
+        self,
+        verdicts: Mapping[str, Verdict],
+        usual: Mapping[str, float],
+        now: float,
+    ) -> None:
+        """Weighs the detectors' verdicts on one finished use."""
+        for name, is_bad in verdicts.items():
+            if is_bad is not None:
+                self._scores[name].note(
+                    is_bad=is_bad,
+                    usual_share=usual[name],
+                    now=now,
+                )
+
+    def restart(self, names: tuple[str, ...], score: float, now: float) -> None:
+        """Starts some detectors over from a score."""
+        for name in names:
+            self._scores[name].restart(score, now)
+
+    def clear(self, now: float) -> None:
+        """Starts all detectors over."""
+        self.restart(tuple(self._scores), 0, now)
+
+    def _from(self, threshold: float, now: float) -> tuple[str, ...]:
+        return tuple(
+            name
+            for name, score in self._scores.items()
+            if score.value_at(now) >= threshold
+        )
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/slot_table.py
@@ -0,0 +1,90 @@
+"""Which slots of a target may be in use.
+
+A permit that was not returned counts until the latest moment at which a
+run begun on it can still be going on.
+"""
+
+from attrs import define, frozen
+
+from jacinthcroft_decisions.internal.traffic.permit_messages import HeldSlot
+
+# Allows for clocks of two VMs that run apart during one permit's life.
+CLOCK_MARGIN_SECONDS = 0.05
+
+
+@frozen
+class PermitUse:
+    """Who holds a permit, and since when it was last granted or renewed."""
+
+    vm: str
+    zone: str
+    granted_at: float
+
+
+@define
+class _Hold:
+    use: PermitUse
+    free_at: float
+    last_run_number: int = 0
+
+
+class SlotTable:
+    """The permits of one target that may be in use."""
+
+    def __init__(self) -> None:
+        """Starts with none."""
+        self._holds: dict[str, _Hold] = {}
+
+    @property
+    def running(self) -> int:
+        """How many permits may be in use."""
+        return len(self._holds)
+
+    def use_of(self, permit_id: str) -> PermitUse | None:
+        """Returns who holds a permit, if it is outstanding."""
+        hold = self._holds.get(permit_id)
+        return hold.use if hold else None
+
+    def held(self, now: float) -> tuple[HeldSlot, ...]:
+        """Returns the outstanding permits for a handover."""
+        return tuple(
+            HeldSlot(
+                permit_id=permit_id,
+                vm=hold.use.vm,
+                zone=hold.use.zone,
+                free_in=hold.free_at - now,
+            )
+            for permit_id, hold in self._holds.items()
+        )
+
+    def hold(self, permit_id: str, use: PermitUse, free_at: float) -> None:
+        """Counts a new permit until its return, at most until `free_at`."""
+        self._holds[permit_id] = _Hold(use, free_at + CLOCK_MARGIN_SECONDS)
+
+    def renew(self, permit_id: str, now: float, free_at: float) -> None:
+        """Counts an outstanding permit for longer."""
+        hold = self._holds[permit_id]
+        hold.use = PermitUse(hold.use.vm, hold.use.zone, now)
+        hold.free_at = max(hold.free_at, free_at + CLOCK_MARGIN_SECONDS)
+
+    def is_new_run(self, permit_id: str, run_number: int) -> bool:
+        """Whether a report's run was not seen; unnumbered ones are new."""
+        hold = self._holds.get(permit_id)
+        if hold is None:
+            return False
+        return not run_number or run_number > hold.last_run_number
+
+    def note_run(self, permit_id: str, run_number: int) -> None:
+        """Remembers a run as seen."""
+        hold = self._holds[permit_id]
+        hold.last_run_number = max(hold.last_run_number, run_number)
+
+    def release(self, permit_id: str) -> None:
+        """Frees the slot of a returned permit."""
+        self._holds.pop(permit_id, None)
+
+    def release_overdue(self, now: float) -> None:
+        """Frees the slots of permits that were never returned."""
+        for permit_id, hold in tuple(self._holds.items()):
+            if hold.free_at <= now:
+                self._holds.pop(permit_id)
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/target_health.py
@@ -0,0 +1,163 @@
+"""One target's evidence and standing in its cell.
+
+A target is in use, ejected, or on trial: after the backoff it gets one
+request at a time, and returns to use after a few good answers in a row.
+"""
+
+import enum
+from collections.abc import Mapping
+from random import Random
+
+from jacinthcroft_decisions.internal.traffic.backoff import Backoff
+from jacinthcroft_decisions.internal.traffic.detectors import (
+    DETECTORS,
+    CellNorm,
+    RunSample,
+    Verdict,
+)
+from jacinthcroft_decisions.internal.traffic.path_blame import PathBlame
+from jacinthcroft_decisions.internal.traffic.scoreboard import Scoreboard
+
+TRIAL_ANSWERS = 3
+
+
+class Standing(enum.Enum):
+    """What a target may get."""
+
+    IN_USE = 'in-use'
+    EJECTED = 'ejected'
+    TRIAL = 'trial'
+
+
+class TargetHealth:
+    """What speaks against one target, and what follows."""
+
+    def __init__(self, random: Random) -> None:
+        """Starts in use with nothing against the target."""
+        self.paths = PathBlame(random)
+        self.scores = Scoreboard()
+        self._random = random
+        self._standing = Standing.IN_USE
+        self._standing_since: float = 0
+        self._backoff = Backoff()
+        self._retry_at: float = 0
+        self._trial_answers = 0
+        self._reasons: tuple[str, ...] = ()
+        self._badness_when_ejected: float = 0
+
+    @property
+    def standing(self) -> Standing:
+        """Whether the target is in use."""
+        return self._standing
+
+    @property
+    def retry_at(self) -> float:
+        """When an ejected target is tried again."""
+        return self._retry_at
+
+    @property
+    def rank_for_return(self) -> tuple[float, float]:
+        """Orders ejected targets: the least bad comes first."""
+        return -self._trial_answers, self._badness_when_ejected
+
+    def reasons(self, now: float) -> tuple[str, ...]:
+        """Returns the detectors that speak against the target."""
+        if self._standing is Standing.IN_USE:
+            return self.scores.suspicions(now)
+        return self._reasons
+
+    def observe(
+        self,
+        sample: RunSample,
+        norm: CellNorm,
+        usual: Mapping[str, float],
+        now: float,
+    ) -> None:
+        """Takes in one finished use."""
+        verdicts: Mapping[str, Verdict] = {
+            name: sign.judge(sample, norm) for name, sign in DETECTORS.items()
+        }
+        if self._standing is not Standing.IN_USE:
+            self._observe_trial(sample, verdicts, now)
+            return
+        is_blocked = self.paths.is_blocked(sample.vm, sample.zone, now)
+        self._note_path(sample, verdicts, usual, now)
+        if is_blocked:
+            # What a blocked path still brings says nothing of the target.
+            verdicts = {
+                name: is_bad
+                for name, is_bad in verdicts.items()
+                if not DETECTORS[name].blames_path
+            }
+        self.scores.note(verdicts, usual, now)
+
+    def eject(self, now: float) -> None:
+        """Takes the target out of use, for longer each time."""
+        self._reasons = self.reasons(now)
+        self._badness_when_ejected = self.scores.badness(now)
+        self._retry_at = now + self._backoff.next_pause(now, self._random)
+        self._stand(Standing.EJECTED, now)
+
+    def postpone_trial(self, now: float) -> None:
+        """Waits for another pause of the same length."""
+        self._retry_at = now + self._backoff.pause
+
+    def begin_trial(self, now: float) -> None:
+        """Allows one request at a time."""
+        self._stand(Standing.TRIAL, now)
+
+    def readmit(self, now: float) -> None:
+        """Puts the target back in use with nothing against it."""
+        self._backoff.resume(now)
+        self._stand(Standing.IN_USE, now)
+
+    def has_passed_trial(self) -> bool:
+        """Whether enough trial requests went well."""
+        return self._trial_answers >= TRIAL_ANSWERS
+
+    def _observe_trial(
+        self,
+        sample: RunSample,
+        verdicts: Mapping[str, Verdict],
+        now: float,
+    ) -> None:
+        is_trial = self._standing is Standing.TRIAL
+        if not is_trial or sample.granted_at < self._standing_since:
+            # A run from before the ejection or the trial proves nothing.
+            return
+        if any(verdicts.values()):
+            self._reasons = tuple(
+                name for name, is_bad in verdicts.items() if is_bad
+            )
+            self._retry_at = now + self._backoff.next_pause(now, self._random)
+            self._stand(Standing.EJECTED, now)
+        elif False in verdicts.values():
+            self._trial_answers += 1
+
+    def _note_path(
+        self,
+        sample: RunSample,
+        verdicts: Mapping[str, Verdict],
+        usual: Mapping[str, float],
+        now: float,
+    ) -> None:
+        signs = {
+            name: is_bad
+            for name, is_bad in verdicts.items()
+            if is_bad is not None and DETECTORS[name].blames_path
+        }
+        if signs:
+            self.paths.note(
+                sample.vm,
+                sample.zone,
+                is_bad=any(signs.values()),
+                usual_share=max(usual[name] for name in signs),
+                now=now,
+            )
+
+    def _stand(self, standing: Standing, now: float) -> None:
+        self._standing = standing
+        self._standing_since = now
+        self._trial_answers = 0
+        self.paths.clear()
+        self.scores.clear(now)
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/target_pool.py
@@ -0,0 +1,191 @@
+"""The targets of a cell: who gets a slot of which, and what it tells.
+
+Joins what is known of each target's load (`cell_target`) with the judgement
+of their health (`cell_health`).
+"""
+
+import statistics
+from collections import deque
+from collections.abc import Collection
+from random import Random
+
+from jacinthcroft_config import Service, Target, TargetState
+
+from jacinthcroft_decisions.internal.traffic.cell_health import CellHealth
+from jacinthcroft_decisions.internal.traffic.cell_outcomes import (
+    CellEvent,
+    ColdStartNoticed,
+    TargetEjected,
+)
+from jacinthcroft_decisions.internal.traffic.cell_target import CellTarget
+from jacinthcroft_decisions.internal.traffic.detectors import (
+    CellNorm,
+    RunSample,
+)
+from jacinthcroft_decisions.internal.traffic.permit_messages import (
+    PermitReport,
+)
+from jacinthcroft_decisions.internal.traffic.scoreboard import SUSPECT_SCORE
+from jacinthcroft_decisions.internal.traffic.slot_table import PermitUse
+from jacinthcroft_decisions.internal.traffic.target_health import Standing
+
+STALL_FACTOR = 4.0
+# Pauses of processes and networks make shorter delays everywhere.
+MIN_STALL_SECONDS = 0.02
+NORM_INTERVAL_SECONDS = 0.25
+_MAX_EVENTS = 1000
+# After these the target's process has probably been started anew.
+_RESTART_SIGNS = frozenset(('connects', 'resets'))
+
+
+class TargetPool:
+    """All targets of a cell."""
+
+    def __init__(self, random: Random) -> None:
+        """Starts without targets."""
+        self.health = CellHealth(random, self._tell)
+        self.targets: dict[str, CellTarget] = {}
+        self._events: deque[CellEvent] = deque(maxlen=_MAX_EVENTS)
+        self._listed: dict[str, Target] = {}
+        self._zones_out: Collection[str] = ()
+        self._floor = 1.0
+        self._norm_at: float = 0
+
+    def is_open(self, name: str, now: float) -> bool:
+        """Whether the operators and the target itself want new work."""
+        listed = self._listed.get(name)
+        if listed is None or listed.state is not TargetState.ACTIVE:
+            return False
+        if listed.zone in self._zones_out:
+            return False
+        return not self.targets[name].is_draining(now)
+
+    def allowed(self, name: str, now: float) -> int:
+        """Returns the most permits that a target gets at once."""
+        health = self.health.roster.of(name)
+        if health is None or not self.is_open(name, now):
+            return 0
+        allowed = self.targets[name].ramp.allowed(now)
+        if health.standing is Standing.TRIAL:
+            return min(1, allowed)
+        return allowed if health.standing is Standing.IN_USE else 0
+
+    def has_slot(self, name: str, now: float) -> bool:
+        """Whether a target may get another permit."""
+        return self.targets[name].slots.running < self.allowed(name, now)
+
+    def may_keep(self, name: str, use: PermitUse, now: float) -> bool:
+        """Whether a VM may run its next request on the same permit."""
+        health = self.health.roster.of(name)
+        if health is None or health.standing is not Standing.IN_USE:
+            return False
+        if self.targets[name].slots.running > self.allowed(name, now):
+            return False
+        return self.health.may_reach(name, use.vm, use.zone, now)
+
+    def reconfigure(
+        self,
+        service: Service,
+        zones_out: Collection[str],
+        now: float,
+    ) -> None:
+        """Takes over the service file; what is still in use stays known."""
+        self._zones_out = zones_out
+        self._floor = service.limits.floor
+        self._listed = {target.name: target for target in service.targets}
+        for name, target in self._listed.items():
+            known = self.targets.get(name)
+            if known is None:
+                self.targets[name] = CellTarget(target, service.limits, now)
+            else:
+                known.reconfigure(target, service.limits, now)
+        self._sync_health(now)
+
+    def note_signs(self, report: PermitReport, now: float) -> None:
+        """Takes in what an answer says of the target's process."""
+        known = self.targets[report.target]
+        if report.boot_id is not None and known.note_boot_id(report.boot_id):
+            known.turn_cold(now)
+            self._tell(ColdStartNoticed(report.target, 'restart', now))
+        if report.is_draining:
+            known.note_drain(now)
+            self._sync_health(now)
+
+    def observe(
+        self,
+        report: PermitReport,
+        use: PermitUse,
+        now: float,
+    ) -> None:
+        """Takes in one finished use of a permit."""
+        name = report.target
+        known = self.targets[name]
+        sample = RunSample(
+            vm=use.vm,
+            zone=use.zone,
+            outcome=report.outcome,
+            latency=report.latency,
+            granted_at=use.granted_at,
+            is_cold=known.ramp.is_cold,
+        )
+        known.note_load(report, now)
+        if self.health.roster.of(name) is None:
+            return
+        self.health.note(name, sample, now)
+        self._notice_cold_start(name, now)
+        self.health.judge(name, use.vm, now)
+
+    def tick(self, now: float) -> None:
+        """Frees overdue slots and brings what is usual up to date."""
+        for name, known in tuple(self.targets.items()):
+            known.slots.release_overdue(now)
+            if name not in self._listed and not known.slots.running:
+                self.targets.pop(name)
+        if now - self._norm_at >= NORM_INTERVAL_SECONDS:
+            self._norm_at = now
+            self._refresh_norm()
+            self._sync_health(now)
+            self.health.tick(now)
+
+    def drain_events(self) -> tuple[CellEvent, ...]:
+        """Returns what happened since the last call."""
+        events = tuple(self._events)
+        self._events.clear()
+        return events
+
+    def _notice_cold_start(self, name: str, now: float) -> None:
+        """Turns a warm target cold when its own latency steps up."""
+        known = self.targets[name]
+        health = self.health.roster.of(name)
+        if health is None or known.ramp.is_cold:
+            return
+        if 'slowness' not in health.scores.tripped(now):
+            return
+        is_step = known.latencies.has_stepped_up
+        if is_step and health.paths.verdict(now).is_target:
+            known.turn_cold(now)
+            # It stays suspect, so that others are preferred for a while.
+            health.scores.restart(('slowness',), SUSPECT_SCORE, now)
+            self._tell(ColdStartNoticed(name, 'latency', now))
+
+    def _refresh_norm(self) -> None:
+        quantiles = [
+            known.latencies.high_quantile
+            for known in self.targets.values()
+            if known.latencies.is_known
+        ]
+        if quantiles:
+            usual = statistics.median(quantiles)
+            stall = max(MIN_STALL_SECONDS, STALL_FACTOR * usual)
+            self.health.norm = CellNorm(stall_seconds=stall)
+
+    def _sync_health(self, now: float) -> None:
+        active = [name for name in self._listed if self.is_open(name, now)]
+        self.health.reconfigure(self._listed, active, self._floor, now)
+
+    def _tell(self, event: CellEvent) -> None:
+        self._events.append(event)
+        if not isinstance(event, TargetEjected):
+            return
+        if _RESTART_SIGNS.intersection(event.reasons):
+            self.targets[event.target].turn_cold(event.happened_at)
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_bucket.py
@@ -0,0 +1,122 @@
+"""A token bucket that can take back what it issued.
+
+Taking back is exact: the bucket ends in the state in which the returned
+tokens were never issued. A plain refund would be too much, because a bucket
+without that issue could have been full in the meantime and spilled.
+"""
+
+from collections import OrderedDict
+
+from attrs import define
+
+from jacinthcroft_decisions.internal.traffic.token_terms import TokenTerms
+
+# How long after their expiry unspent tokens may still be taken back.
+RETURN_GRACE_SECONDS = 2.0
+
+# An expected level of 0.9999999 after a refill counts as a whole token.
+_REFILL_ROUNDING_TOKENS = 1e-9
+
+
+@define
+class _Issue:
+    """One issue; `headroom` is what the bucket lacked right before it."""
+
+    issued_at: float
+    tokens: int
+    headroom: float
+
+
+class TokenBucket:
+    """Tokens refilled at a steady rate up to a capacity."""
+
+    def __init__(self, terms: TokenTerms, now: float) -> None:
+        """Starts empty at `now`."""
+        self._terms = terms
+        self._level: float = 0
+        self._filled_at = now
+        self._issues: OrderedDict[str, _Issue] = OrderedDict()
+
+    @property
+    def terms(self) -> TokenTerms:
+        """The bounds in force."""
+        return self._terms
+
+    def level(self, now: float) -> float:
+        """Returns the tokens at hand, in parts of tokens."""
+        elapsed = max(0, now - self._filled_at)
+        return min(
+            self._terms.capacity,
+            self._level + elapsed * self._terms.refill,
+        )
+
+    def available(self, now: float) -> int:
+        """Returns the whole tokens at hand."""
+        return int(self.level(now) + _REFILL_ROUNDING_TOKENS)
+
+    def seconds_until_token(self, now: float) -> float:
+        """Returns the time until one token is at hand."""
+        if self._terms.refill <= 0:
+            return RETURN_GRACE_SECONDS
+        return max(0, 1 - self.level(now)) / self._terms.refill
+
+    def issue(self, issue_id: str, tokens: int, now: float) -> None:
+        """Takes whole tokens out; the caller has asked `available`."""
+        self._fill(now)
+        self._forget_old_issues(now)
+        headroom = self._terms.capacity - self._level
+        self._issues[issue_id] = _Issue(now, tokens, headroom)
+        self._level -= tokens
+
+    def take_back(self, issue_id: str, tokens: int, now: float) -> int:
+        """Undoes part of an issue once; returns the tokens regained.
+
+        An unknown issue, and one returned before, gives nothing.
+        """
+        self._fill(now)
+        self._forget_old_issues(now)
+        issue = self._issues.get(issue_id)
+        if issue is None:
+            return 0
+        undone = min(tokens, issue.tokens)
+        # A later return of the same issue may be a duplicate.
+        issue.tokens = 0
+        return self._raise_levels_since(issue_id, undone)
+
+    def change_terms(self, terms: TokenTerms, now: float) -> None:
+        """Puts new bounds in force; earlier issues are final from then on."""
+        self._fill(now)
+        self._issues.clear()
+        self._terms = terms
+        self._level = min(self._level, terms.capacity)
+
+    def _raise_levels_since(self, issue_id: str, undone: int) -> int:
+        later = self._later_issues(issue_id)
+        regained = float(undone)
+        for issue in later:
+            regained = max(0, min(regained, issue.headroom))
+            issue.headroom -= regained
+        regained = min(regained, self._terms.capacity - self._level)
+        self._level += max(0, regained)
+        return int(regained)
+
+    def _later_issues(self, issue_id: str) -> list[_Issue]:
+        later: list[_Issue] = []
+        for known_id in reversed(self._issues):
+            if known_id == issue_id:
+                break
+            later.append(self._issues[known_id])
+        later.reverse()
+        return later
+
+    def _fill(self, now: float) -> None:
+        self._level = self.level(now)
+        self._filled_at = max(self._filled_at, now)
+
+    def _forget_old_issues(self, now: float) -> None:
+        oldest = now - self._terms.lifetime - RETURN_GRACE_SECONDS
+        while self._issues:
+            issue_id = next(iter(self._issues))
+            if self._issues[issue_id].issued_at >= oldest:
+                return
+            self._issues.pop(issue_id)
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_ledger.py
@@ -0,0 +1,157 @@
+"""The tokens of one team, issued by the team's holder.
+
+The bucket bounds what all VMs together may spend. Demands reported by the
+VMs decide who gets how much of it while tokens are scarce.
+"""
+
+import math
+from collections import deque
+from typing import Self
+
+from attrs import frozen
+from jacinthcroft_config import Team
+
+from jacinthcroft_decisions.internal.traffic.token_bucket import TokenBucket
+from jacinthcroft_decisions.internal.traffic.token_messages import (
+    TokenAsk,
+    TokenGrant,
+)
+from jacinthcroft_decisions.internal.traffic.token_terms import TokenTerms
+
+# How long a VM's reported demand counts when it asks no more.
+DEMAND_MEMORY_SECONDS = 2.0
+# Grants of this long count when a scarce bucket is split.
+SHARE_WINDOW_SECONDS = 1.0
+MAX_RETRY_AFTER_SECONDS = 1.0
+
+
+@frozen
+class _Demand:
+    """A VM's reported demand in requests per second."""
+
+    rate: float
+    reported_at: float
+
+
+@frozen
+class _RecentGrant:
+    """Tokens that a VM got a short while ago."""
+
+    vm: str
+    tokens: int
+    granted_at: float
+
+
+class TeamLedger:
+    """Issues a team's tokens under the holder's lease."""
+
+    def __init__(self, terms: TokenTerms, held_since: float) -> None:
+        """Starts with no tokens at `held_since`."""
+        self._bucket = TokenBucket(terms, held_since)
+        self._held_since = held_since
+        self._grants_made = 0
+        self._demands: dict[str, _Demand] = {}
+        self._recent: deque[_RecentGrant] = deque()
+
+    @classmethod
+    def from_config(cls, team: Team, held_since: float) -> Self:
+        """Creates an empty ledger for a team's limits."""
+        return cls(TokenTerms.from_config(team), held_since)
+
+    def reconfigure(self, team: Team, now: float) -> None:
+        """Puts new limits in force.
+
+        Tokens issued before keep their lifetime, so the new limits bound
+        all windows that begin one lifetime from now.
+        """
+        terms = TokenTerms.from_config(team)
+        if terms != self._bucket.terms:
+            self._bucket.change_terms(terms, now)
+
+    def give_back(self, tokens: int, now: float, grant_id: str = '') -> None:
+        """Takes back tokens of a grant that will never be spent.
+
+        Without the id of one of this ledger's own grants nothing changes:
+        tokens of an earlier holder are no part of this bucket.
+        """
+        self._bucket.take_back(grant_id, tokens, now)
+
+    def grant(
+        self,
+        ask: TokenAsk,
+        now: float,
+        lease_until: float,
+    ) -> TokenGrant:
+        """Issues tokens that no VM can spend after the lease."""
+        for unused in ask.unused:
+            self.give_back(unused.tokens, now, unused.grant_id)
+        self._note_demand(ask, now)
+        lifetime = min(self._bucket.terms.lifetime, lease_until - now)
+        tokens = 0
+        if lifetime > 0:
+            tokens = min(ask.wanted, self._fair_tokens(ask, now))
+        if tokens < 1:
+            return TokenGrant(0, 0, self._retry_after(ask, now))
+        return self._issue(ask.vm, tokens, lifetime, now)
+
+    def _issue(
+        self,
+        vm: str,
+        tokens: int,
+        lifetime: float,
+        now: float,
+    ) -> TokenGrant:
+        self._grants_made += 1
+        grant_id = f'{self._held_since!r}/{self._grants_made}'
+        self._bucket.issue(grant_id, tokens, now)
+        self._recent.append(_RecentGrant(vm, tokens, now))
+        return TokenGrant(tokens, lifetime, 0, grant_id)
+
+    def _fair_tokens(self, ask: TokenAsk, now: float) -> int:
+        available = self._bucket.available(now)
+        if self._is_ample(ask, now):
+            return available
+        pool = available + sum(grant.tokens for grant in self._recent)
+        taken = sum(
+            grant.tokens for grant in self._recent if grant.vm == ask.vm
+        )
+        fair = math.ceil(self._share(ask) * pool) - taken
+        if not self._is_overdrawn():
+            # The others together ask for less than what comes in.
+            fair = max(fair, 1)
+        return min(available, fair)
+
+    def _is_ample(self, ask: TokenAsk, now: float) -> bool:
+        """Whether the others are served even if this VM gets all it wants."""
+        if self._is_overdrawn():
+            return False
+        left = self._bucket.level(now) - ask.wanted
+        return left >= self._bucket.terms.capacity / 2
+
+    def _is_overdrawn(self) -> bool:
+        return self._total_demand() > self._bucket.terms.refill
+
+    def _share(self, ask: TokenAsk) -> float:
+        total = self._total_demand()
+        return self._demands[ask.vm].rate / total if total > 0 else 1.0
+
+    def _total_demand(self) -> float:
+        return sum(demand.rate for demand in self._demands.values())
+
+    def _retry_after(self, ask: TokenAsk, now: float) -> float:
+        wait = self._bucket.seconds_until_token(now)
+        if wait <= 0:
+            # Tokens are there, and others have the better claim to them.
+            refill = max(self._bucket.terms.refill, 1 / MAX_RETRY_AFTER_SECONDS)
+            wait = 1 / refill
+        return min(MAX_RETRY_AFTER_SECONDS, wait)
+
+    def _note_demand(self, ask: TokenAsk, now: float) -> None:
+        oldest = now - DEMAND_MEMORY_SECONDS
+        self._demands[ask.vm] = _Demand(max(ask.demand, 0), now)
+        for vm, demand in tuple(self._demands.items()):
+            if demand.reported_at < oldest:
+                self._demands.pop(vm)
+        horizon = now - SHARE_WINDOW_SECONDS
+        while self._recent and self._recent[0].granted_at < horizon:
+            self._recent.popleft()
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_messages.py
@@ -0,0 +1,40 @@
+"""What a VM and the holder of a team tell each other about tokens."""
+
+from attrs import frozen
+
+
+@frozen
+class TokenReturn:
+    """Tokens of one grant that expired unspent or will not be spent."""
+
+    grant_id: str
+    tokens: int
+
+
+@frozen
+class TokenAsk:
+    """A VM's question for tokens of one team.
+
+    `demand` is the VM's recent demand in requests per second. `unused`
+    names earlier grants of which tokens were never spent; a return is
+    sent at most once.
+    """
+
+    team_key: str
+    vm: str
+    wanted: int
+    demand: float
+    unused: tuple[TokenReturn, ...] = ()
+
+
+@frozen
+class TokenGrant:
+    """Tokens that may be spent within `lifetime` seconds of the question.
+
+    `retry_after` is in seconds, and zero when something was granted.
+    """
+
+    tokens: int
+    lifetime: float
+    retry_after: float
+    grant_id: str = ''
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_purse.py
@@ -0,0 +1,139 @@
+"""The tokens of one team that a VM has in hand.
+
+Tokens count from before the VM asked, so a slow answer shortens them. The
+purse asks ahead of need by the VM's recent demand, so that an ordinary
+request pays no trip.
+"""
+
+import math
+from typing import Final
+
+from attrs import define, frozen
+
+from jacinthcroft_decisions.internal.traffic.token_messages import (
+    TokenAsk,
+    TokenGrant,
+    TokenReturn,
+)
+
+DEMAND_WINDOW_SECONDS: Final = 1.0
+# The stock that the purse aims at, in seconds of the recent demand.
+STOCK_SECONDS: Final = 0.5
+# Below this expected need in the stock's time nothing is held in stock.
+MIN_EXPECTED_TOKENS: Final = 0.5
+
+
+@frozen
+class SpentToken:
+    """A token taken for one attempt; void once `expires_at` has passed."""
+
+    expires_at: float
+    grant_id: str = ''
+
+    def is_valid(self, now: float) -> bool:
+        """Whether the attempt may still begin."""
+        return now < self.expires_at
+
+
+@define
+class _Lot:
+    """What is left of one grant."""
+
+    grant_id: str
+    expires_at: float
+    tokens: int
+
+
+class TokenPurse:
+    """Spends one team's tokens at one VM."""
+
+    def __init__(self) -> None:
+        """Starts with no tokens and no demand."""
+        self._lots: list[_Lot] = []
+        self._unused: list[TokenReturn] = []
+        self._demand: float = 0
+        self._demand_at: float = 0
+        self._unmet = 0
+
+    def demand(self, now: float) -> float:
+        """Returns the recent demand in requests per second."""
+        elapsed = max(0, now - self._demand_at)
+        decay = math.exp(-elapsed / DEMAND_WINDOW_SECONDS)
+        return self._demand * decay / DEMAND_WINDOW_SECONDS
+
+    def stock(self, now: float) -> int:
+        """Returns the tokens that can be spent now."""
+        return sum(lot.tokens for lot in self._lots if now < lot.expires_at)
+
+    def wanted(self, now: float) -> int:
+        """Returns how many tokens to ask for; zero for none.
+
+        Counts the requests that found the purse empty since the last
+        grant. The caller keeps one question in flight at a time.
+        """
+        stock = self.stock(now)
+        expected = self.demand(now) * STOCK_SECONDS
+        if expected < MIN_EXPECTED_TOKENS:
+            return max(0, self._unmet - stock)
+        aim = math.ceil(expected)
+        if stock * 2 > aim and not self._unmet:
+            return 0
+        return max(0, aim + self._unmet - stock)
+
+    def note_demand(self, now: float) -> None:
+        """Counts one request that needs a token."""
+        self._demand = self.demand(now) * DEMAND_WINDOW_SECONDS + 1
+        self._demand_at = now
+
+    def ask(self, team_key: str, vm: str, now: float) -> TokenAsk | None:
+        """Builds the next question to the holder, or none.
+
+        It carries the unused tokens, which are reported only once.
+        """
+        self._drop_expired(now)
+        wanted = self.wanted(now)
+        if not wanted:
+            return None
+        unused = tuple(self._unused)
+        self._unused.clear()
+        return TokenAsk(team_key, vm, wanted, self.demand(now), unused)
+
+    def add(self, grant: TokenGrant, asked_at: float, now: float) -> None:
+        """Takes in a grant; its lifetime counts from `asked_at`."""
+        self._unmet = 0
+        expires_at = asked_at + grant.lifetime
+        if grant.tokens > 0:
+            self._lots.append(_Lot(grant.grant_id, expires_at, grant.tokens))
+            self._lots.sort(key=_expiry)
+        self._drop_expired(now)
+
+    def spend(self, now: float) -> SpentToken | None:
+        """Takes the token that expires first, if any."""
+        self._drop_expired(now)
+        for lot in self._lots:
+            if lot.tokens:
+                lot.tokens -= 1
+                return SpentToken(lot.expires_at, lot.grant_id)
+        self._unmet += 1
+        return None
+
+    def return_token(self, token: SpentToken) -> None:
+        """Puts back a token whose attempt has sent no byte."""
+        for lot in self._lots:
+            is_same = lot.grant_id == token.grant_id
+            if is_same and lot.expires_at == token.expires_at:
+                lot.tokens += 1
+                return
+
+    def _drop_expired(self, now: float) -> None:
+        live: list[_Lot] = []
+        for lot in self._lots:
+            if now < lot.expires_at:
+                live.append(lot)
+            elif lot.tokens and lot.grant_id:
+                self._unused.append(TokenReturn(lot.grant_id, lot.tokens))
+        self._lots = live
+
+
+def _expiry(lot: _Lot) -> float:
+    return lot.expires_at
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_terms.py
@@ -0,0 +1,58 @@
+"""How a team's rate and burst bound the tokens that a holder issues.
+
+A token is spent up to `lifetime` after its issue, so tokens spent within a
+window were issued within a window that is longer by `lifetime`. With whole
+tokens the promise `spent <= burst + rate * window` holds for all windows
+when the issuing bucket keeps
+
+    refill <= rate  and  capacity + refill * (lifetime + 1 / rate) <= burst + 1
+
+since the tightest window is the one in which `burst + 1` tokens are spent.
+"""
+
+from typing import Self
+
+from attrs import frozen
+from jacinthcroft_config import Team
+
+MAX_LIFETIME_SECONDS = 1.0
+MIN_LIFETIME_SECONDS = 0.02
+
+# Keeps rounding of sums of floats on the safe side of the promise.
+_ROUNDING_TOKENS = 1e-6
+
+
+@frozen
+class TokenTerms:
+    """The issuing bucket of one team.
+
+    `capacity` is in tokens, `refill` in tokens per second and `lifetime`
+    in seconds.
+    """
+
+    capacity: float
+    refill: float
+    lifetime: float
+
+    @classmethod
+    def from_config(cls, team: Team) -> Self:
+        """Derives the bucket from the team's limits.
+
+        The lifetime is as long as half of the burst allows. Where that is
+        too short for a token to reach a VM, the refill is lowered instead.
+        """
+        if team.rate <= 0 or team.burst < 1:
+            return cls(capacity=0, refill=0, lifetime=MIN_LIFETIME_SECONDS)
+        half_burst = max(1.0, team.burst / 2)
+        lifetime = min(
+            MAX_LIFETIME_SECONDS,
+            max(MIN_LIFETIME_SECONDS, (team.burst - half_burst) / team.rate),
+        )
+        reach = lifetime + 1 / team.rate
+        refill = min(team.rate, (team.burst + 1 - half_burst) / reach)
+        capacity = min(team.burst, team.burst + 1 - refill * reach)
+        return cls(
+            capacity=max(1.0, capacity - _ROUNDING_TOKENS),
+            refill=refill,
+            lifetime=lifetime,
+        )
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/traffic.py
@@ -0,0 +1,93 @@
+"""Team tokens, permits, target health, retries and quarantine."""
+
+from jacinthcroft_decisions.internal.traffic.baselines import (
+    ConsecutiveErrors,
+    FixedShare,
+    RoundRobin,
+)
+from jacinthcroft_decisions.internal.traffic.cell import Cell
+from jacinthcroft_decisions.internal.traffic.cell_outcomes import (
+    CellEvent,
+    ColdStartNoticed,
+    EjectionWithheld,
+    Granted,
+    PathBlocked,
+    QueueFull,
+    TargetCondition,
+    TargetEjected,
+    TargetReadmitted,
+    TargetView,
+)
+from jacinthcroft_decisions.internal.traffic.permit_messages import (
+    CellHandover,
+    HeldSlot,
+    Permit,
+    PermitAsk,
+    PermitRefusal,
+    PermitRenewal,
+    PermitReport,
+    ReportReply,
+    RunOutcome,
+    TargetHandover,
+)
+from jacinthcroft_decisions.internal.traffic.permit_purse import (
+    HeldPermit,
+    PermitPurse,
+)
+from jacinthcroft_decisions.internal.traffic.quarantine import (
+    Quarantine,
+    QuarantineCache,
+    Strike,
+    fingerprint,
+)
+from jacinthcroft_decisions.internal.traffic.retry_budget import RetryBudget
+from jacinthcroft_decisions.internal.traffic.token_ledger import TeamLedger
+from jacinthcroft_decisions.internal.traffic.token_messages import (
+    TokenAsk,
+    TokenGrant,
+    TokenReturn,
+)
+from jacinthcroft_decisions.internal.traffic.token_purse import (
+    SpentToken,
+    TokenPurse,
+)
+
+__all__ = (
+    'Cell',
+    'CellEvent',
+    'CellHandover',
+    'ColdStartNoticed',
+    'ConsecutiveErrors',
+    'EjectionWithheld',
+    'FixedShare',
+    'Granted',
+    'HeldPermit',
+    'HeldSlot',
+    'PathBlocked',
+    'Permit',
+    'PermitAsk',
+    'PermitPurse',
+    'PermitRefusal',
+    'PermitRenewal',
+    'PermitReport',
+    'Quarantine',
+    'QuarantineCache',
+    'QueueFull',
+    'ReportReply',
+    'RetryBudget',
+    'RoundRobin',
+    'RunOutcome',
+    'SpentToken',
+    'Strike',
+    'TargetCondition',
+    'TargetEjected',
+    'TargetHandover',
+    'TargetReadmitted',
+    'TargetView',
+    'TeamLedger',
+    'TokenAsk',
+    'TokenGrant',
+    'TokenPurse',
+    'TokenReturn',
+    'fingerprint',
+)
