--- /dev/null
+++ b/packages/testkit/src/jacinthcroft_testkit/linked_vm.py
@@ -0,0 +1,28 @@
+"""Runs jacinthcroftd with its connections led through fault links.
+
+`python -m jacinthcroft_testkit.linked_vm LINKS --settings FILE`, with LINKS
+a JSON file of `{"host:port": "host:port"}`; every later argument is the
+daemon's own.
+"""
+
+import asyncio
+import pathlib
+import runpy
+import sys
+
+from jacinthcroft_testkit.internal.routing import LinkedPolicy, LinkFile
+
+
+def main() -> None:
+    """Runs the daemon's module as `python -m jacinthcroft_daemon` would."""
+    links = LinkFile(pathlib.Path(sys.argv.pop(1)))
+    asyncio.set_event_loop_policy(LinkedPolicy(links))
+    runpy.run_module(
+        'jacinthcroft_daemon',
+        run_name='__main__',
+        alter_sys=True,
+    )
+
+
+if __name__ == '__main__':
+    main()
