Split the HTTP connection classes by job

Change: reader, wire, phases, conversation, response writer, answer and exchange apart. Idle connections are polled in the kernel before use, so that a close or unasked bytes which the loop has not reported yet are seen. Draining leaves a connection open whose request waits in the kernel.

--- a/packages/http/src/jacinthcroft_http/__init__.py
+++ b/packages/http/src/jacinthcroft_http/__init__.py
@@ -6,13 +6,14 @@
 down instead of filling memory.
 """
 
+from jacinthcroft_http.internal.answer import Answer
 from jacinthcroft_http.internal.clock import now
-from jacinthcroft_http.internal.connection import (
+from jacinthcroft_http.internal.connection import ServerLimits
+from jacinthcroft_http.internal.conversation import (
     BadRequestAnswer,
     Handler,
-    ServerLimits,
 )
-from jacinthcroft_http.internal.exchange import Answer, SendOutcome
+from jacinthcroft_http.internal.exchange import SendOutcome
 from jacinthcroft_http.internal.headers import (
     Header,
     Headers,
--- /dev/null
+++ b/packages/http/src/jacinthcroft_http/internal/client_connection.py
@@ -0,0 +1,102 @@
+"""A connection to another process, in use or idle."""
+
+from collections.abc import Callable
+from typing import Final
+
+import h11
+
+from jacinthcroft_http.internal.clock import now
+from jacinthcroft_http.internal.waiting import Timeout
+from jacinthcroft_http.internal.wire import Wire
+
+MAX_ANSWER_HEAD_BYTES: Final = 65536
+
+PoolKey = tuple[str, int]
+
+
+class ClientConnection(Wire):
+    """A connection that carries one exchange at a time.
+
+    Only a connection whose answer was read to its end, with nothing after
+    it, is released for another exchange. Every other end closes it, so that
+    a late answer is lost with its connection and never meets another
+    request.
+    """
+
+    def __init__(
+        self,
+        key: PoolKey,
+        on_released: 'Callable[[ClientConnection], None]',
+        on_closed: 'Callable[[ClientConnection], None]',
+    ) -> None:
+        """Tells the pool when the connection is free or closed."""
+        super().__init__(h11.CLIENT, MAX_ANSWER_HEAD_BYTES)
+        self.key = key
+        self.idle_since: float | None = None
+        self._on_released = on_released
+        self._on_closed = on_closed
+        self._timeout = Timeout()
+
+    def data_received(self, data: bytes) -> None:
+        """Keeps an answer's bytes; closes when none was asked for."""
+        if self.idle_since is None:
+            super().data_received(data)
+        else:
+            self.close()
+
+    def eof_received(self) -> bool:
+        """Makes an idle connection unusable at once."""
+        super().eof_received()
+        if self.idle_since is not None:
+            self.close()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tells the pool."""
+        super().connection_lost(exc)
+        self._timeout.stop()
+        self._on_closed(self)
+
+    def is_usable(self, idle_timeout: float) -> bool:
+        """Whether a request may go out on this idle connection.
+
+        Unasked bytes or the other side's close, even if still in the
+        kernel, make it unusable.
+        """
+        if self.idle_since is None or not self.is_open:
+            return False
+        return now() < self.idle_since + idle_timeout and self.is_quiet
+
+    def begin(self, seconds: float) -> None:
+        """Begins an exchange that must end within some seconds."""
+        self.idle_since = None
+        self._timeout.start(seconds, self._expire)
+
+    def close(self) -> None:
+        """Closes at once; unsent and unread bytes are dropped."""
+        self._timeout.stop()
+        self.fail(ConnectionResetError('closed by this side'))
+        if self._transport is not None:
+            self._transport.abort()
+
+    def release(self) -> None:
+        """Ends an exchange whose answer has come to its end."""
+        self._timeout.stop()
+        if self._is_reusable():
+            self.parser.start_next_cycle()
+            self.idle_since = now()
+            self._on_released(self)
+        else:
+            self.close()
+
+    def _is_reusable(self) -> bool:
+        return (
+            self.parser.our_state is h11.DONE
+            and self.parser.their_state is h11.DONE
+            and self.is_open
+            and not self.reader.has_unread_bytes
+        )
+
+    def _expire(self) -> None:
+        self.fail(TimeoutError('no whole answer in time'))
+        self.close()
--- a/packages/http/src/jacinthcroft_http/internal/pool.py
+++ b/packages/http/src/jacinthcroft_http/internal/pool.py
@@ -7,16 +7,15 @@
 
 from attrs import frozen
 
-from jacinthcroft_http.internal.clock import now
-from jacinthcroft_http.internal.exchange import (
+from jacinthcroft_http.internal.client_connection import (
     ClientConnection,
-    SendOutcome,
-    exchange,
+    PoolKey,
 )
+from jacinthcroft_http.internal.clock import now
+from jacinthcroft_http.internal.exchange import SendOutcome, exchange
 from jacinthcroft_http.internal.messages import OutgoingRequest
 from jacinthcroft_http.internal.outcomes import NothingSent
-
-_Key = tuple[str, int]
+from jacinthcroft_http.internal.waiting import Timeout
 
 
 @frozen
@@ -34,10 +33,10 @@
     def __init__(self, limits: PoolLimits) -> None:
         """Starts empty; connections are opened when needed."""
         self._limits = limits
-        self._idle: dict[_Key, list[ClientConnection]] = {}
-        self._open: Counter[_Key] = Counter()
+        self._idle: dict[PoolKey, list[ClientConnection]] = {}
+        self._open: Counter[PoolKey] = Counter()
         self._all: set[ClientConnection] = set()
-        self._sweeper: asyncio.TimerHandle | None = None
+        self._sweep_timeout = Timeout()
         self._is_closed = False
 
     @classmethod
@@ -50,7 +49,7 @@
         return self._open[(host, port)]
 
     def idle_connections(self, host: str, port: int) -> int:
-        """Returns how many connections to an address wait for a request."""
+        """Returns how many connections to an address await a request."""
         return len(self._idle.get((host, port), ()))
 
     async def send(
@@ -81,27 +80,23 @@
         if left <= 0:
             connection.close()
             return NothingSent('timeout', 'time ran out before the write')
-        connection.start_timeout(left)
+        connection.begin(left)
         return await exchange(connection, request, before_first_byte)
 
     async def close(self) -> None:
         """Closes every connection, also those in use."""
         self._is_closed = True
-        if self._sweeper is not None:
-            self._sweeper.cancel()
-            self._sweeper = None
+        self._sweep_timeout.stop()
         for connection in tuple(self._all):
             connection.close()
         # The transports report their end on the loop's next turn.
         await asyncio.sleep(0)
 
-    def _take_idle(self, key: _Key) -> ClientConnection | None:
+    def _take_idle(self, key: PoolKey) -> ClientConnection | None:
         idle = self._idle.get(key, [])
-        oldest = now() - self._limits.idle_timeout
         while idle:
             connection = idle.pop()
-            if connection.is_open and connection.idle_since > oldest:
-                connection.is_idle = False
+            if connection.is_usable(self._limits.idle_timeout):
                 return connection
             connection.close()
         return None
@@ -111,70 +106,64 @@
         request: OutgoingRequest,
         timeout: float,
     ) -> ClientConnection | NothingSent:
-        key = (request.host, request.port)
         if self._is_closed:
             return NothingSent('closed', 'the pool is closed')
-        self._open[key] += 1
         limit = min(timeout, self._limits.connect_timeout)
-        connection = None
+        connection = self._new_connection((request.host, request.port))
         try:
-            async with asyncio.timeout(limit):
-                connection = await self._open_connection(key)
+            await _open(connection, limit)
         except TimeoutError:
+            self._on_closed(connection)
             return NothingSent('connect-timeout', f'none in {limit:.3f} s')
         except OSError as error:
+            self._on_closed(connection)
             return NothingSent('connect-failed', str(error))
-        finally:
-            if connection is None:
-                self._forget(key)
-        self._all.add(connection)
+        except BaseException:
+            self._on_closed(connection)
+            raise
         return connection
 
-    async def _open_connection(self, key: _Key) -> ClientConnection:
-        loop = asyncio.get_running_loop()
-        _, connection = await loop.create_connection(
-            lambda: ClientConnection(key, self._release, self._on_closed),
-            *key,
-        )
+    def _new_connection(self, key: PoolKey) -> ClientConnection:
+        connection = ClientConnection(key, self._on_released, self._on_closed)
+        self._all.add(connection)
+        self._open[key] += 1
         return connection
 
-    def _release(self, connection: ClientConnection) -> None:
+    def _on_released(self, connection: ClientConnection) -> None:
         idle = self._idle.setdefault(connection.key, [])
         if self._is_closed or len(idle) >= self._limits.max_idle_per_address:
             connection.close()
             return
-        connection.is_idle = True
-        connection.idle_since = now()
         idle.append(connection)
-        if self._sweeper is None:
+        if not self._sweep_timeout.is_pending:
             self._schedule_sweep()
 
     def _on_closed(self, connection: ClientConnection) -> None:
+        # Failing to open and losing the transport may both lead here.
         if connection not in self._all:
             return
         self._all.discard(connection)
-        self._forget(connection.key)
-        idle = self._idle.get(connection.key, [])
-        if connection in idle:
-            idle.remove(connection)
-
-    def _forget(self, key: _Key) -> None:
-        self._open[key] -= 1
-        if not self._open[key]:
-            self._open.pop(key)
-            self._idle.pop(key, None)
+        self._open[connection.key] -= 1
+        if not self._open[connection.key]:
+            self._open.pop(connection.key)
+            self._idle.pop(connection.key, None)
+        elif connection in self._idle.get(connection.key, ()):
+            self._idle[connection.key].remove(connection)
 
     def _schedule_sweep(self) -> None:
-        loop = asyncio.get_running_loop()
-        self._sweeper = loop.call_later(self._limits.idle_timeout, self._sweep)
+        self._sweep_timeout.start(self._limits.idle_timeout, self._sweep)
 
     def _sweep(self) -> None:
-        self._sweeper = None
-        oldest = now() - self._limits.idle_timeout
+        self._sweep_timeout.stop()
         for idle in tuple(self._idle.values()):
             for connection in tuple(idle):
-                if connection.idle_since <= oldest:
-                    idle.remove(connection)
+                if not connection.is_usable(self._limits.idle_timeout):
                     connection.close()
         if any(self._idle.values()):
             self._schedule_sweep()
+
+
+async def _open(connection: ClientConnection, limit: float) -> None:
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(limit):
+        await loop.create_connection(lambda: connection, *connection.key)
--- a/packages/http/src/jacinthcroft_http/internal/server.py
+++ b/packages/http/src/jacinthcroft_http/internal/server.py
@@ -1,19 +1,25 @@
 """A listening port and the connections that came through it."""
 
 import asyncio
-from typing import Self
+from typing import Final, Self
 
-from jacinthcroft_http.internal.clock import now
 from jacinthcroft_http.internal.connection import (
-    BadRequestAnswer,
-    Handler,
     Phase,
     ServerConnection,
     ServerLimits,
 )
+from jacinthcroft_http.internal.conversation import (
+    BadRequestAnswer,
+    Conversation,
+    Handler,
+    Service,
+)
+
+BACKLOG: Final = 1024
 
-BACKLOG = 1024
-DRAIN_POLL_SECONDS = 0.02
+# A connection on which no request has come yet was opened for one that is
+# likely on its way when the draining begins.
+NEW_CONNECTION_GRACE_SECONDS: Final = 0.5
 
 
 class Server:
@@ -26,12 +32,16 @@
         on_bad_request: BadRequestAnswer,
     ) -> None:
         """Prepares a server; `start` opens its port."""
-        self._limits = limits
-        self._handler = handler
-        self._on_bad_request = on_bad_request
+        self._service = Service(
+            limits,
+            handler,
+            on_bad_request,
+            lambda: self._is_leaving,
+        )
         self._connections: set[ServerConnection] = set()
         self._listener: asyncio.Server | None = None
-        self._is_draining = False
+        self._is_leaving = False
+        self._emptied = asyncio.Event()
 
     @classmethod
     def from_limits(
@@ -76,35 +86,68 @@
         bound: int = self._listener.sockets[0].getsockname()[1]
         return bound
 
+    def stop_keep_alive(self) -> None:
+        """Makes each further answer its connection's last.
+
+        Called some seconds before `drain`, this lets callers move away
+        without ever finding a connection closed under a request.
+        """
+        self._is_leaving = True
+
     async def drain(self, timeout: float) -> int:
         """Stops accepting, ends what is running and closes the rest.
 
         Returns:
             How many requests were cut because `timeout` seconds had passed.
         """
+        self.stop_keep_alive()
         # What the kernel already holds is taken in before the port closes.
         await asyncio.sleep(0)
         await asyncio.sleep(0)
-        self._is_draining = True
         if self._listener is not None:
             self._listener.close()
+        self._close_idle(served_at_least=1)
+        asyncio.get_running_loop().call_later(
+            NEW_CONNECTION_GRACE_SECONDS,
+            self._close_idle,
+        )
+        return await self._wait_empty(timeout)
+
+    async def _wait_empty(self, timeout: float) -> int:
+        try:
+            async with asyncio.timeout(timeout):
+                while self._connections:
+                    self._emptied.clear()
+                    await self._emptied.wait()
+        except TimeoutError:
+            return self._cut()
+        return 0
+
+    def _cut(self) -> int:
+        remaining = tuple(self._connections)
+        owing = sum(connection.owes_answer for connection in remaining)
+        for connection in remaining:
+            connection.transport.abort()
+        return owing
+
+    def _close_idle(self, served_at_least: int = 0) -> None:
         for connection in tuple(self._connections):
-            connection.is_last_request = True
-            connection.close_if_idle()
-        deadline = now() + timeout
-        while self._connections and now() < deadline:
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
-        cut = self.running
-        for remaining in tuple(self._connections):
-            remaining.abort()
-        return cut
+            if connection.served >= served_at_least:
+                connection.close_if_idle()
 
     def _connect(self) -> ServerConnection:
         connection = ServerConnection(
-            self._limits,
-            self._handler,
-            self._on_bad_request,
-            self._connections,
+            self._service.limits,
+            self._serve,
+            self._on_closed,
         )
-        connection.is_last_request = self._is_draining
+        self._connections.add(connection)
         return connection
+
+    async def _serve(self, connection: ServerConnection) -> None:
+        await Conversation(self._service, connection).run()
+
+    def _on_closed(self, connection: ServerConnection) -> None:
+        self._connections.discard(connection)
+        if not self._connections:
+            self._emptied.set()
