--- a/packages/http/src/jacinthcroft_http/internal/connection.py
+++ b/packages/http/src/jacinthcroft_http/internal/connection.py
@@ -6,13 +6,14 @@
 
 import asyncio
 import enum
+import math
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
 import h11
 from attrs import frozen
 
-from jacinthcroft_http.internal.waiting import Timeout
+from jacinthcroft_http.internal.clock import now
 from jacinthcroft_http.internal.wire import Wire
 
 # How long a closing connection still swallows what its caller sends: closing
@@ -34,6 +35,16 @@
     keep_alive_timeout: float = 60.0
     write_timeout: float = 30.0
 
+    @property
+    def shortest_timeout(self) -> float:
+        """The shortest of the timeouts, in seconds."""
+        return min(
+            LINGER_SECONDS,
+            self.head_timeout,
+            self.keep_alive_timeout,
+            self.write_timeout,
+        )
+
 
 class Phase(enum.Enum):
     """What a connection is busy with."""
@@ -63,8 +74,8 @@
         self._serve = serve
         self._on_closed = on_closed
         self._task: asyncio.Task[None] | None = None
-        self._phase_timeout = Timeout()
-        self._write_timeout = Timeout()
+        self._phase_deadline = math.inf
+        self._write_deadline = math.inf
 
     @property
     def owes_answer(self) -> bool:
@@ -99,43 +110,32 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the handler and tells the server."""
         super().connection_lost(exc)
-        self._phase_timeout.stop()
-        self._write_timeout.stop()
         self._cancel()
         self._on_closed(self)
 
     def pause_writing(self) -> None:
         """Gives a caller that reads too slowly limited time."""
         super().pause_writing()
-        self._write_timeout.start(
-            self._limits.write_timeout,
-            self.transport.abort,
-        )
+        self._write_deadline = now() + self._limits.write_timeout
 
     def resume_writing(self) -> None:
         """Stops the timeout of a slow caller."""
-        self._write_timeout.stop()
+        self._write_deadline = math.inf
         super().resume_writing()
 
     def await_head(self) -> None:
         """Waits for a request's first byte, or for the rest of its head."""
         if self.reader.has_unread_bytes:
             self.phase = Phase.HEAD
-            self._phase_timeout.start(
-                self._limits.head_timeout,
-                self._on_head_timeout,
-            )
+            self._phase_deadline = now() + self._limits.head_timeout
         else:
             self.phase = Phase.IDLE
-            self._phase_timeout.start(
-                self._limits.keep_alive_timeout,
-                self.close_if_idle,
-            )
+            self._phase_deadline = now() + self._limits.keep_alive_timeout
 
     def begin_request(self) -> None:
         """Ends the head's timeout."""
         self.phase = Phase.REQUEST
-        self._phase_timeout.stop()
+        self._phase_deadline = math.inf
 
     def close_if_idle(self) -> None:
         """Closes a connection on which no request is under way."""
@@ -151,13 +151,22 @@
         self.reader.clear()
         is_flushed = self.transport.get_write_buffer_size() == 0
         self.transport.write_eof()
-        self._phase_timeout.start(
-            LINGER_SECONDS if is_flushed else self._limits.write_timeout,
-            self.transport.abort,
-        )
-
-    def _on_head_timeout(self) -> None:
-        self.reader.fail(TimeoutError())
+        patience = LINGER_SECONDS if is_flushed else self._limits.write_timeout
+        self._phase_deadline = now() + patience
+
+    def enforce_timeouts(self) -> None:
+        """Ends what has outlived its timeout."""
+        at = now()
+        if at >= self._write_deadline:
+            self.transport.abort()
+        if at < self._phase_deadline:
+            return
+        if self.phase is Phase.HEAD:
+            self.reader.fail(TimeoutError())
+        elif self.phase is Phase.IDLE:
+            self.close_if_idle()
+        elif self.phase is Phase.CLOSING:
+            self.transport.abort()
 
     def _cancel(self) -> None:
         if self.phase is Phase.CLOSING:
--- a/packages/http/src/jacinthcroft_http/internal/conversation.py
+++ b/packages/http/src/jacinthcroft_http/internal/conversation.py
@@ -11,12 +11,10 @@
     ServerConnection,
     ServerLimits,
 )
-from jacinthcroft_http.internal.event_reader import Event
-from jacinthcroft_http.internal.headers import Headers
 from jacinthcroft_http.internal.heads import (
+    Head,
     explain_parse_error,
     find_fault,
-    has_no_body,
 )
 from jacinthcroft_http.internal.messages import IncomingRequest, Response
 from jacinthcroft_http.internal.outcomes import BadRequest, BodyCut
@@ -73,9 +71,9 @@
         self._connection.begin_request()
         if isinstance(head, BadRequest):
             return await self._refuse(head)
-        if not isinstance(head, h11.Request):
+        if head is None:
             return False
-        if has_no_body(head):
+        if head.has_no_body:
             # Taking the body's end now lets the connection be kept alive.
             self._connection.reader.receive_now()
         response = await self._handle(head)
@@ -83,7 +81,7 @@
             return await self._refuse(response)
         return await self._answer(head, response)
 
-    async def _receive_head(self) -> Event | BadRequest:
+    async def _receive_head(self) -> Head | BadRequest | None:
         limits = self._service.limits
         try:
             event = await self._connection.reader.receive()
@@ -92,15 +90,16 @@
         except TimeoutError:
             detail = f'no whole head in {limits.head_timeout} s'
             return BadRequest('head-timeout', detail)
-        if isinstance(event, h11.Request):
-            return find_fault(event, limits.max_head_bytes) or event
-        return event
+        if not isinstance(event, h11.Request):
+            return None
+        head = Head.from_event(event)
+        return find_fault(head, limits.max_head_bytes) or head
 
-    async def _handle(self, head: h11.Request) -> Response | BadRequest:
+    async def _handle(self, head: Head) -> Response | BadRequest:
         request = IncomingRequest(
-            head.method.decode(),
-            head.target.decode(),
-            Headers.from_wire(head.headers),
+            head.method,
+            head.target,
+            head.headers,
             self._body,
             now(),
             self._connection.remote,
@@ -120,10 +119,10 @@
         await writer.write(self._service.on_bad_request(fault))
         return False
 
-    async def _answer(self, head: h11.Request, response: Response) -> bool:
+    async def _answer(self, head: Head, response: Response) -> bool:
         writer = ResponseWriter(
             self._connection,
-            is_head=head.method == b'HEAD',
+            is_head=head.method == 'HEAD',
             is_last=self._is_last(response),
         )
         self._connection.served += 1
--- a/packages/http/src/jacinthcroft_http/internal/exchange.py
+++ b/packages/http/src/jacinthcroft_http/internal/exchange.py
@@ -73,7 +73,7 @@
     if not isinstance(event, h11.Response):
         connection.close()
         return Interrupted('reset', 'closed without an answer')
-    headers = Headers.from_wire(event.headers)
+    headers = Headers.from_wire(event.headers.raw_items())
     answer = Answer(event.status_code, headers, connection)
     answer.take_what_came()
     return answer
--- a/packages/http/src/jacinthcroft_http/internal/headers.py
+++ b/packages/http/src/jacinthcroft_http/internal/headers.py
@@ -32,11 +32,13 @@
 
     @classmethod
     def from_wire(cls, raw: Iterable[Header]) -> Self:
-        """Makes headers of h11's pairs, whose names are lower-case."""
+        """Makes headers of pairs as they came."""
         return cls(
             tuple(
-                (name.decode(_ENCODING), text.decode(_ENCODING))
-                for name, text in raw
+                [
+                    (name.decode(_ENCODING).lower(), text.decode(_ENCODING))
+                    for name, text in raw
+                ]
             ),
         )
 
--- a/packages/http/src/jacinthcroft_http/internal/heads.py
+++ b/packages/http/src/jacinthcroft_http/internal/heads.py
@@ -1,19 +1,46 @@
 """Which request heads are refused, and by which reason."""
 
+from typing import Self
+
 import h11
+from attrs import frozen
 
+from jacinthcroft_http.internal.headers import Headers
 from jacinthcroft_http.internal.outcomes import BadRequest
 
 _STATUS_TOO_LARGE = 431
-_LENGTH_NAME = b'content-length'
-_ENCODING_NAME = b'transfer-encoding'
+# The colon, the space and the line's end.
+_FIELD_MARKS_BYTES = 4
+_LENGTH_NAME = 'content-length'
+_ENCODING_NAME = 'transfer-encoding'
 
 
-def has_no_body(head: h11.Request) -> bool:
-    """Whether a request's head announces no body."""
-    return not any(
-        name in {_LENGTH_NAME, _ENCODING_NAME} for name, _ in head.headers
-    )
+@frozen
+class Head:
+    """A request's head as it came over the wire."""
+
+    method: str
+    target: str
+    headers: Headers
+    version: bytes
+
+    @classmethod
+    def from_event(cls, event: h11.Request) -> Self:
+        """Decodes h11's event."""
+        return cls(
+            event.method.decode(),
+            event.target.decode(),
+            Headers.from_wire(event.headers.raw_items()),
+            event.http_version,
+        )
+
+    @property
+    def has_no_body(self) -> bool:
+        """Whether the head announces no body."""
+        return not any(
+            name in {_LENGTH_NAME, _ENCODING_NAME}
+            for name, _ in self.headers.pairs
+        )
 
 
 def explain_parse_error(error: h11.RemoteProtocolError) -> BadRequest:
@@ -26,29 +53,20 @@
     return BadRequest('malformed-request', detail)
 
 
-def find_fault(head: h11.Request, max_head_bytes: int) -> BadRequest | None:
+def find_fault(head: Head, max_head_bytes: int) -> BadRequest | None:
     """Finds what h11 lets pass but a proxy must not."""
-    size = len(head.target)
-    names = set()
-    for name, text in head.headers:
-        # The colon, the space and the line's end count too.
-        size += len(name) + len(text) + len(b': \r\n')
-        names.add(name)
+    size = len(head.target) + sum(
+        len(name) + len(text) + _FIELD_MARKS_BYTES
+        for name, text in head.headers.pairs
+    )
     if size > max_head_bytes:
         return BadRequest('head-too-large', f'over {max_head_bytes} bytes')
-    if _ENCODING_NAME in names:
-        return _find_encoding_fault(head, names)
-    return None
-
-
-def _find_encoding_fault(
-    head: h11.Request,
-    names: set[bytes],
-) -> BadRequest | None:
-    if _LENGTH_NAME in names:
+    if head.headers.get(_ENCODING_NAME) is None:
+        return None
+    if head.headers.get(_LENGTH_NAME) is not None:
         detail = 'both Content-Length and Transfer-Encoding'
         return BadRequest('conflicting-length', detail)
-    if head.http_version != b'1.1':
+    if head.version != b'1.1':
         detail = 'Transfer-Encoding before HTTP/1.1'
         return BadRequest('malformed-request', detail)
     return None
--- a/packages/http/src/jacinthcroft_http/internal/server.py
+++ b/packages/http/src/jacinthcroft_http/internal/server.py
@@ -4,10 +4,10 @@
 from typing import Final, Self
 
 from jacinthcroft_http.internal.connection import (
-    Phase,
     ServerConnection,
     ServerLimits,
 )
+from jacinthcroft_http.internal.connection_set import ConnectionSet
 from jacinthcroft_http.internal.conversation import (
     BadRequestAnswer,
     Conversation,
@@ -38,10 +38,9 @@
             on_bad_request,
             lambda: self._is_leaving,
         )
-        self._connections: set[ServerConnection] = set()
+        self._connections = ConnectionSet(limits)
         self._listener: asyncio.Server | None = None
         self._is_leaving = False
-        self._emptied = asyncio.Event()
 
     @classmethod
     def from_limits(
@@ -60,10 +59,7 @@
     @property
     def running(self) -> int:
         """How many requests are being read or answered."""
-        return sum(
-            connection.phase in {Phase.HEAD, Phase.REQUEST}
-            for connection in self._connections
-        )
+        return self._connections.running
 
     @property
     def open_connections(self) -> int:
@@ -106,48 +102,29 @@
         await asyncio.sleep(0)
         if self._listener is not None:
             self._listener.close()
-        self._close_idle(served_at_least=1)
+        self._connections.close_idle(served_at_least=1)
         asyncio.get_running_loop().call_later(
             NEW_CONNECTION_GRACE_SECONDS,
-            self._close_idle,
+            self._close_unused,
         )
-        return await self._wait_empty(timeout)
-
-    async def _wait_empty(self, timeout: float) -> int:
         try:
             async with asyncio.timeout(timeout):
-                while self._connections:
-                    self._emptied.clear()
-                    await self._emptied.wait()
+                await self._connections.wait_empty()
         except TimeoutError:
-            return self._cut()
+            return self._connections.cut()
         return 0
 
-    def _cut(self) -> int:
-        remaining = tuple(self._connections)
-        owing = sum(connection.owes_answer for connection in remaining)
-        for connection in remaining:
-            connection.transport.abort()
-        return owing
-
-    def _close_idle(self, served_at_least: int = 0) -> None:
-        for connection in tuple(self._connections):
-            if connection.served >= served_at_least:
-                connection.close_if_idle()
+    def _close_unused(self) -> None:
+        self._connections.close_idle(served_at_least=0)
 
     def _connect(self) -> ServerConnection:
         connection = ServerConnection(
             self._service.limits,
             self._serve,
-            self._on_closed,
+            self._connections.discard,
         )
         self._connections.add(connection)
         return connection
 
     async def _serve(self, connection: ServerConnection) -> None:
         await Conversation(self._service, connection).run()
-
-    def _on_closed(self, connection: ServerConnection) -> None:
-        self._connections.discard(connection)
-        if not self._connections:
-            self._emptied.set()
--- a/packages/http/src/jacinthcroft_http/internal/wire.py
+++ b/packages/http/src/jacinthcroft_http/internal/wire.py
@@ -100,7 +100,8 @@
             Exception: What `fail` was told.
         """
         self.transport.write(chunk)
-        await self.flush()
+        if self._is_writing_paused or self.reader.failure is not None:
+            await self.flush()
 
     async def flush(self) -> None:
         """Waits until the transport takes more bytes.
