--- a/packages/daemon/src/jacinthcroft_daemon/internal/app.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/app.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import secrets
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from typing import Final
 
 from jacinthcroft_config import Settings
@@ -92,14 +92,12 @@
     async def run(self, stopping: asyncio.Event) -> None:
         """Serves until told to stop, then stops without cutting requests."""
         await self._start_servers()
-        loops = [asyncio.create_task(one()) for one in self._loops()]
+        loops = [asyncio.create_task(one) for one in self._loops()]
         try:
             await self._wait(stopping, loops)
             await self._drain()
         finally:
-            for loop in loops:
-                loop.cancel()
-            await asyncio.gather(*loops, return_exceptions=True)
+            await _cancel(loops)
             await self._pool.close()
 
     def _build_sharing(self, incarnation: str) -> None:
@@ -186,15 +184,15 @@
             await server.start(address.host, address.port)
         log_event('info', 'started', vm=vm.name, zone=vm.zone)
 
-    def _loops(self) -> tuple[Callable[[], Coroutine[None, None, None]], ...]:
-        return (
-            lambda: self._spread.run_platform_watch('vms'),
-            lambda: self._spread.run_platform_watch('bundle'),
-            self._spread.run_gossip,
-            self._coordination.run,
-            self._cells.run,
-            self._permits.run,
-        )
+    def _loops(self) -> list[Coroutine[None, None, None]]:
+        return [
+            self._spread.run_platform_watch('vms'),
+            self._spread.run_platform_watch('bundle'),
+            self._spread.run_gossip(),
+            self._coordination.run(),
+            self._cells.run(),
+            self._permits.run(),
+        ]
 
     async def _wait(
         self,
@@ -234,3 +232,9 @@
 
 def _refuse_plainly(bad_request: BadRequest) -> Response:
     return Response.text(_BAD_REQUEST, f'{bad_request.reason}\n')
+
+
+async def _cancel(loops: list[asyncio.Task[None]]) -> None:
+    for loop in loops:
+        loop.cancel()
+    await asyncio.gather(*loops, return_exceptions=True)
--- a/packages/daemon/src/jacinthcroft_daemon/internal/operators.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/operators.py
@@ -96,7 +96,7 @@
             'configuration_revision': view.configuration.revision,
             'configuration_age_seconds': round(now() - view.configured_at, 1),
             'is_fresh': view.is_fresh(now()),
-            'leases': port.coordination.coordinator.held_count(now()),
+            'leases': port.coordination.held_count,
             'permits': port.permits.running,
             'teams': [
                 {
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/attempt.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/attempt.py
@@ -73,6 +73,7 @@
 class Ticket:
     """What an attempt spends: a permit and, on keyed routes, a token."""
 
+    cell: str
     permit: HeldPermit
     token: SpentToken | None
 
@@ -126,8 +127,8 @@
         token = ticket.token
         return (
             moment < work.deadline
-            and moment < ticket.permit.usable_until
-            and (token is None or moment < token.expires_at)
+            and ticket.permit.is_startable(moment)
+            and (token is None or token.is_valid(moment))
             and self._admission.may_still_run(work)
         )
 
@@ -154,7 +155,7 @@
             run_outcome = RunOutcome.STALLED
         self._finish(ticket, run_outcome, started_at)
         return Lost(
-            ticket.permit.permit.target,
+            ticket.permit.target,
             run_outcome,
             f'{outcome.reason}: {outcome.detail}',
         )
@@ -172,7 +173,7 @@
             answer.close()
             self._finish(ticket, RunOutcome.CROSSED, started_at)
             return Lost(
-                ticket.permit.permit.target,
+                ticket.permit.target,
                 RunOutcome.CROSSED,
                 'the target answered another request',
             )
@@ -199,6 +200,7 @@
     ) -> None:
         headers = Headers(()) if answer is None else answer.headers
         self._permits.finish(
+            ticket.cell,
             ticket.permit,
             outcome,
             now() - started_at,
@@ -213,7 +215,7 @@
         body: RequestBody,
         ticket: Ticket,
     ) -> OutgoingRequest:
-        permit = ticket.permit.permit
+        permit = ticket.permit
         published = Address(permit.address_host, permit.address_port)
         address = self._view.reachable(published)
         remaining_ms = max(int((work.deadline - now()) * 1000), 1)
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/once.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/once.py
@@ -15,13 +15,13 @@
 from jacinthcroft_daemon.internal.pipeline.runner import Finished, Runner
 from jacinthcroft_daemon.internal.sharing.claims import ClaimService
 from jacinthcroft_decisions.coordination import (
-    AnswerHeader,
     Claim,
     ClaimAnswered,
     ClaimGranted,
     ClaimRunning,
     ClaimUnavailable,
     ClaimVerdict,
+    Header,
     RecordedAnswer,
 )
 from jacinthcroft_http import IncomingRequest
@@ -94,7 +94,7 @@
             claim,
             RecordedAnswer(
                 finished.status,
-                tuple(AnswerHeader(*pair) for pair in finished.headers),
+                tuple(Header(*pair) for pair in finished.headers),
                 base64.b64encode(held).decode(),
             ),
         )
@@ -104,7 +104,7 @@
 def _without_claim(verdict: ClaimVerdict) -> Finished | Refusal:
     if isinstance(verdict, ClaimAnswered):
         answer = verdict.answer
-        headers = tuple((one.name, one.text) for one in answer.headers)
+        headers = tuple((one.name, one.value) for one in answer.headers)
         return Finished(
             answer.status,
             (*headers, ('idempotency-replayed', 'true')),
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/runner.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/runner.py
@@ -115,13 +115,18 @@
         if isinstance(permit, Refusal):
             self._put_back(work, token)
             return permit
-        if token is not None and token.expires_at <= now():
+        if token is not None and not token.is_valid(now()):
             # The wait for the permit outlasted the token.
             token = await self._acquire_token(work)
             if isinstance(token, Refusal):
-                self._permits.finish(permit, RunOutcome.UNUSED, 0)
+                self._permits.finish(
+                    work.service.name,
+                    permit,
+                    RunOutcome.UNUSED,
+                    0,
+                )
                 return token
-        return Ticket(permit, token)
+        return Ticket(work.service.name, permit, token)
 
     async def _acquire_token(self, work: Work) -> SpentToken | None | Refusal:
         if work.team is None:
@@ -199,7 +204,10 @@
             return False
         if refusal.reason is Reason.QUARANTINED:
             return False
-        return budget.may_retry(now())
+        if not budget.may_retry(now()):
+            return False
+        budget.note_retry(now())
+        return True
 
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/claims.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/claims.py
@@ -7,6 +7,7 @@
 
 from jacinthcroft_decisions.coordination import (
     Claim,
+    ClaimGranted,
     ClaimUnavailable,
     ClaimVerdict,
     Outgoing,
@@ -68,7 +69,12 @@
         self._settling.update(asking)
         for task in asking:
             task.add_done_callback(self._settling.discard)
-        return claim, verdict or ClaimUnavailable(is_not_run_certain=False)
+        if verdict is None:
+            verdict = ClaimUnavailable()
+        if not isinstance(verdict, ClaimGranted):
+            # What votes it got stand in the way of later sendings.
+            self.settle_released(claim)
+        return claim, verdict
 
     def settle_released(self, claim: Claim) -> None:
         """Tells the witnesses that this claim never will be dispatched."""
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/coordination.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/coordination.py
@@ -13,13 +13,9 @@
 
 from attrs import frozen
 from jacinthcroft_config import Tunables
-from jacinthcroft_daemon.internal.sharing.tagging import (
-    TaggedMessage,
-    tag_message,
-    untag_message,
-)
 from jacinthcroft_decisions.coordination import (
-    CoordinationMessage,
+    CoordinationReply,
+    CoordinationRequest,
     Coordinator,
     Outgoing,
     Placement,
@@ -33,6 +29,11 @@
     PeerRouter,
     PeerSilent,
 )
+from jacinthcroft_daemon.internal.sharing.tagging import (
+    TaggedMessage,
+    tag_message,
+    untag_message,
+)
 
 BATCH_KIND: Final = 'coordination'
 _BATCH_TIMEOUT_SECONDS: Final = 1.0
@@ -85,6 +86,15 @@
         """What this VM vouches for."""
         return self._witness
 
+    @property
+    def held_count(self) -> int:
+        """How many shards this VM holds now."""
+        moment = now()
+        return sum(
+            self._coordinator.holds(shard, moment)
+            for shard in range(self._view.terms.shard_count)
+        )
+
     def register(self, router: PeerRouter) -> None:
         """Answers peers' batches."""
         router.register(BATCH_KIND, Batch, self._answer_batch)
@@ -121,7 +131,7 @@
         self,
         outgoing: Outgoing,
         timeout: float,
-    ) -> CoordinationMessage | None:
+    ) -> CoordinationReply | None:
         """Sends one message at once; None when no reply came."""
         if outgoing.to == self._view.vm:
             return self._witness.handle(outgoing.message, now(), time.time())
@@ -134,7 +144,8 @@
         )
         if isinstance(reply, PeerSilent) or not reply.messages:
             return None
-        return untag_message(reply.messages[0])
+        received: CoordinationReply | None = untag_message(reply.messages[0])
+        return received
 
     def _spawn(
         self,
@@ -152,7 +163,7 @@
     async def _send_batch(
         self,
         vm: str,
-        messages: list[CoordinationMessage],
+        messages: list[CoordinationRequest],
         *,
         for_witness: bool,
     ) -> None:
@@ -166,8 +177,8 @@
     async def _replies(
         self,
         vm: str,
-        messages: list[CoordinationMessage],
-    ) -> tuple[CoordinationMessage, ...]:
+        messages: list[CoordinationRequest],
+    ) -> tuple[CoordinationReply, ...]:
         if vm == self._view.vm:
             return tuple(
                 self._witness.handle(message, now(), time.time())
@@ -182,7 +193,8 @@
         )
         if isinstance(reply, PeerSilent):
             return ()
-        return tuple(untag_message(tagged) for tagged in reply.messages)
+        replies = (untag_message(tagged) for tagged in reply.messages)
+        return tuple(received for received in replies if received is not None)
 
     async def _answer_batch(self, sender: str, batch: Batch) -> Batch:
         return Batch(
@@ -199,8 +211,8 @@
 
 def _by_vm(
     outgoing: Iterable[Outgoing],
-) -> dict[str, list[CoordinationMessage]]:
-    messages: defaultdict[str, list[CoordinationMessage]] = defaultdict(list)
+) -> dict[str, list[CoordinationRequest]]:
+    messages: defaultdict[str, list[CoordinationRequest]] = defaultdict(list)
     for one in outgoing:
         messages[one.to].append(one.message)
     return messages
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/permits.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/permits.py
@@ -88,11 +88,12 @@
         self._finder = finder
         self._desks: dict[str, _CellDesk] = {}
         self._asking: set[asyncio.Task[None]] = set()
+        self._in_use = 0
 
     @property
     def running(self) -> int:
-        """How many permits this VM holds, idle or in use."""
-        return sum(desk.purse.held_count for desk in self._desks.values())
+        """How many requests of this VM are under way to targets."""
+        return self._in_use
 
     async def acquire(
         self,
@@ -104,7 +105,7 @@
         """Returns a permit, waiting for it until `deadline` at the most."""
         desk = self._desk(service.name)
         if not desk.waiters:
-            held = desk.purse.take(now())
+            held = self._take(desk)
             if held is not None:
                 return held
         loop = asyncio.get_running_loop()
@@ -121,6 +122,7 @@
 
     def finish(
         self,
+        cell: str,
         held: HeldPermit,
         outcome: RunOutcome,
         latency: float,
@@ -129,10 +131,10 @@
         is_draining: bool = False,
     ) -> None:
         """Takes a permit back from a request, and tells the holder."""
-        cell = held.permit.cell
+        self._in_use -= 1
         desk = self._desk(cell)
         desk.purse.finish(
-            held.permit.id,
+            held.permit_id,
             outcome,
             latency,
             boot_id,
@@ -154,7 +156,7 @@
     def _desk(self, cell: str) -> _CellDesk:
         desk = self._desks.get(cell)
         if desk is None:
-            desk = _CellDesk(PermitPurse(cell, self._view.vm))
+            desk = _CellDesk(PermitPurse(self._view.vm))
             self._desks[cell] = desk
         return desk
 
@@ -182,9 +184,15 @@
         if waiter.future.cancelled() or not waiter.future.done():
             waiter.future.cancel()
 
+    def _take(self, desk: _CellDesk) -> HeldPermit | None:
+        held = desk.purse.take(now())
+        if held is not None:
+            self._in_use += 1
+        return held
+
     def _serve_waiters(self, desk: _CellDesk) -> None:
         while desk.waiters:
-            held = desk.purse.take(now())
+            held = self._take(desk)
             if held is None:
                 return
             desk.waiters.popleft().future.set_result(held)
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/quarantine.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/quarantine.py
@@ -37,9 +37,10 @@
 
 @frozen
 class Verdict:
-    """A request that every VM refuses for a while."""
+    """A request that every VM refuses for `remaining` seconds."""
 
     fingerprint: str
+    remaining: float
 
 
 @frozen
@@ -83,8 +84,6 @@
         for vm in self._finder.likely_holders(f'fingerprint:{fingerprint}'):
             verdict = await self._strike_at(vm, strike)
             if verdict is not None:
-                if verdict:
-                    self._cache.add(fingerprint, now())
                 return verdict
         return False
 
@@ -105,14 +104,14 @@
         shard = self._view.placement.shard_of(thing)
         if not self._coordination.coordinator.holds(shard, now()):
             return None
-        is_new = self._quarantine.strike(strike, now())
-        if is_new:
+        remaining = self._quarantine.strike(strike, now())
+        if remaining > 0:
             log_event('warning', 'quarantined', fingerprint=strike.fingerprint)
-            self._tell_all(Verdict(strike.fingerprint))
-        return self._quarantine.is_quarantined(strike.fingerprint, now())
+            self._tell_all(Verdict(strike.fingerprint, remaining))
+        return remaining > 0
 
     def _tell_all(self, verdict: Verdict) -> None:
-        self._cache.add(verdict.fingerprint, now())
+        self._cache.add(verdict.fingerprint, verdict.remaining, now())
         for vm in self._view.other_vms:
             telling = asyncio.create_task(
                 self._peers.ask(
@@ -134,5 +133,5 @@
         sender: str,
         verdict: Verdict,
     ) -> VerdictReply:
-        self._cache.add(verdict.fingerprint, now())
+        self._cache.add(verdict.fingerprint, verdict.remaining, now())
         return VerdictReply(self._view.vm)
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/tagging.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/tagging.py
@@ -3,9 +3,9 @@
 from typing import Any
 
 from attrs import frozen
+from jacinthcroft_decisions.coordination import MESSAGE_KINDS, kind_of
 
 from jacinthcroft_daemon.internal.peers import structure, unstructure
-from jacinthcroft_decisions.coordination import MESSAGE_KINDS, kind_of
 
 
 @frozen
