--- a/packages/daemon/src/jacinthcroft_daemon/internal/fleet/spread.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/fleet/spread.py
@@ -66,7 +66,7 @@
         self._on_change = on_change
         self._parts = PartStore()
         self._bundle = PublishedText(0, '{"services": {}}')
-        self._random = random.Random()  # noqa: S311 - no secret depends on it
+        self._random = random.Random()
         self._wants_history = True
         self._adopting = asyncio.Lock()
 
--- a/packages/daemon/src/jacinthcroft_daemon/internal/operators.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/operators.py
@@ -24,11 +24,11 @@
 def operator_path(path: str) -> Callable[[Answerer], Answerer]:
     """Registers the answerer of one path."""
 
-    def register(answerer: Answerer) -> Answerer:  # noqa: WPS430
+    def decorator(answerer: Answerer) -> Answerer:
         _ANSWERERS[path] = answerer
         return answerer
 
-    return register
+    return decorator
 
 
 class OperatorPort:
--- a/packages/daemon/src/jacinthcroft_daemon/internal/peers/client.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/peers/client.py
@@ -68,7 +68,7 @@
             timeout,
         )
 
-    async def ask_at(  # noqa: WPS211 - one question has this many parts
+    async def ask_at(
         self,
         address: Address,
         to_vm: str,
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/attempt.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/attempt.py
@@ -94,7 +94,7 @@
         self._permits = permits
         self._pool = pool
 
-    async def send(  # noqa: WPS211 - an attempt is made of these
+    async def send(
         self,
         work: Work,
         request: IncomingRequest,
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/runner.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/runner.py
@@ -128,7 +128,7 @@
                 return token
         return Ticket(work.service.name, permit, token)
 
-    async def _acquire_token(self, work: Work) -> SpentToken | None | Refusal:
+    async def _acquire_token(self, work: Work) -> SpentToken | Refusal | None:
         if work.team is None:
             return None
         patience_until = min(work.deadline, now() + TOKEN_PATIENCE_SECONDS)
@@ -181,13 +181,13 @@
     ) -> Refusal:
         if lost.outcome is RunOutcome.STALLED:
             return _refused(work, Reason.DEADLINE_EXCEEDED, lost.detail)
-        if lost.outcome is RunOutcome.RESET:
-            if await self._quarantine.strike(fingerprint, lost.target):
-                return _refused(
-                    work,
-                    Reason.QUARANTINED,
-                    'this request has cost several targets',
-                )
+        is_crash = lost.outcome is RunOutcome.RESET
+        if is_crash and await self._quarantine.strike(fingerprint, lost.target):
+            return _refused(
+                work,
+                Reason.QUARANTINED,
+                'this request has cost several targets',
+            )
         return _refused(work, Reason.TARGET_FAILED, lost.detail)
 
     def _may_retry(
--- a/packages/daemon/src/jacinthcroft_daemon/internal/platform/adapter.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/platform/adapter.py
@@ -57,11 +57,11 @@
 ) -> Callable[[AdapterFactory], AdapterFactory]:
     """Registers an adapter under the scheme that settings name."""
 
-    def register(factory: AdapterFactory) -> AdapterFactory:  # noqa: WPS430
+    def decorator(factory: AdapterFactory) -> AdapterFactory:
         _ADAPTERS[scheme] = factory
         return factory
 
-    return register
+    return decorator
 
 
 def connect_platform(scheme: str, address: Address, reader: str) -> Platform:
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/held_cells.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/held_cells.py
@@ -83,7 +83,7 @@
         self._coordination = coordination
         self._prober = prober
         self._incarnation = incarnation
-        self._random = random.Random()  # noqa: S311 - only spreads load
+        self._random = random.Random()
         self._cells: dict[str, _HeldCell] = {}
 
     @property
