Fence and read back by list, within bounded rounds

Cause: a restarted witness could forget a fence that a driver still counted, and rejoin the fenced list. Change: memory is whole per list revision, fence majorities count only within the claim timeout.

--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/activation.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/activation.py
@@ -9,6 +9,7 @@
 
 from attrs import define, field
 
+from jacinthcroft_decisions.internal.coordination.fence_round import FenceRound
 from jacinthcroft_decisions.internal.coordination.history import (
     PlacementHistory,
 )
@@ -17,11 +18,9 @@
 )
 from jacinthcroft_decisions.internal.coordination.messages import (
     FenceReply,
-    FenceRequest,
     InstallReply,
     InstallRequest,
     Outcome,
-    ShardView,
 )
 from jacinthcroft_decisions.internal.coordination.placement import Placement
 from jacinthcroft_decisions.internal.coordination.records import merge_records
@@ -30,7 +29,6 @@
     ListsNeeded,
     NoneInstalled,
     PredecessorFound,
-    SurveyResult,
     survey,
 )
 from jacinthcroft_decisions.internal.coordination.terms import (
@@ -50,10 +48,10 @@
     incarnation: str
     terms: CoordinationTerms
     needs_history: bool = field(default=False, init=False)
-    _views: dict[str, ShardView] = field(factory=dict, init=False)
+    _rounds: dict[int, FenceRound] = field(factory=dict, init=False)
     _lease_until: dict[str, float] = field(factory=dict, init=False)
     _installed: set[str] = field(factory=set, init=False)
-    _asked_at: dict[str, float] = field(factory=dict, init=False)
+    _repeated_at: float = field(default=_NEVER, init=False)
 
     @property
     def is_finished(self) -> bool:
@@ -71,88 +69,95 @@
         now: float,
     ) -> tuple[Outgoing, ...]:
         """Returns the next step's requests, as far as they are due."""
-        result = survey(
-            self.shard,
-            self.placement.revision,
-            history,
-            self._views,
-        )
+        fenced = {
+            revision: known.views
+            for revision, known in self._rounds.items()
+            if known.is_complete
+        }
+        result = survey(self.shard, self.placement.revision, history, fenced)
         self.needs_history = isinstance(result, NoneInstalled)
         if isinstance(result, FencesNeeded):
-            return self._fences(result.witnesses, now)
+            return self._fences(result.placement, now)
         if isinstance(result, ListsNeeded):
             history.hear(result.revisions)
             return ()
         if self.needs_history and not is_history_complete:
             return ()
-        blocking = self._blocking(now)
-        if blocking:
-            return self._fences(blocking, now)
-        return self._installs(result, now)
+        return self._last_steps(result, now)
 
-    def receive_fence(self, sender: str, reply: FenceReply, now: float) -> None:
+    def receive_fence(
+        self,
+        sender: str,
+        reply: FenceReply,
+        sent_at: float,
+        now: float,
+    ) -> None:
         """Takes what a fenced witness knew."""
-        if reply.outcome is not Outcome.DONE or reply.view is None:
+        fence_round = self._rounds.get(reply.earlier)
+        if fence_round is None or reply.view is None:
             return
-        self._views[sender] = reply.view
-        self._lease_until[sender] = _NEVER
+        fence_round.receive(sender, reply, sent_at, now)
         lease = reply.view.lease
         own = (self.vm, self.incarnation)
-        if lease is not None and (lease.holder, lease.incarnation) != own:
-            wait = lease.remaining * (1 + self.terms.drift_margin)
-            self._lease_until[sender] = now + wait
+        if lease is None or (lease.holder, lease.incarnation) == own:
+            self._lease_until[sender] = _NEVER
+            return
+        wait = lease.remaining * (1 + self.terms.drift_margin)
+        self._lease_until[sender] = now + wait
 
     def receive_install(self, sender: str, reply: InstallReply) -> None:
         """Counts an installed witness."""
         if reply.outcome is Outcome.DONE:
             self._installed.add(sender)
 
-    def _blocking(self, now: float) -> tuple[str, ...]:
-        """Returns the witnesses that keep another VM's lease."""
-        return tuple(
-            vm for vm, until in self._lease_until.items() if now < until
-        )
-
-    def _fences(
+    def _fences(self, earlier: Placement, now: float) -> tuple[Outgoing, ...]:
+        fence_round = self._rounds.get(earlier.revision)
+        if fence_round is None:
+            fence_round = FenceRound(
+                self.shard,
+                self.placement.revision,
+                earlier,
+                self.terms,
+            )
+            self._rounds[earlier.revision] = fence_round
+        return fence_round.requests(now)
+
+    def _last_steps(
         self,
-        witnesses: tuple[str, ...],
+        found: NoneInstalled | PredecessorFound,
         now: float,
     ) -> tuple[Outgoing, ...]:
-        message = FenceRequest(self.shard, self.placement.revision)
-        return tuple(
-            Outgoing(vm, message)
-            for vm in witnesses
-            if self._is_due(f'fence {vm}', now)
+        """Waits for the leases' end, then installs."""
+        if now - self._repeated_at < self.terms.renew_interval:
+            return ()
+        self._repeated_at = now
+        blocking = tuple(
+            vm for vm, until in self._lease_until.items() if now < until
         )
+        if blocking:
+            newest = self._rounds[max(self._rounds)]
+            return newest.repeat(blocking)
+        return self._installs(found)
 
     def _installs(
         self,
-        result: SurveyResult,
-        now: float,
+        found: NoneInstalled | PredecessorFound,
     ) -> tuple[Outgoing, ...]:
-        if not isinstance(result, NoneInstalled | PredecessorFound):
-            return ()
         message = InstallRequest(
             shard=self.shard,
             revision=self.placement.revision,
             driver=self.vm,
             incarnation=self.incarnation,
-            vouch_from=result.vouch_from,
-            is_cold=isinstance(result, NoneInstalled),
+            vouch_from=found.vouch_from,
+            is_cold=isinstance(found, NoneInstalled),
             records=merge_records(
-                view.records for view in self._views.values()
+                view.records
+                for known in self._rounds.values()
+                for view in known.views
             ),
         )
         return tuple(
             Outgoing(vm, message)
             for vm in self._witnesses
-            if vm not in self._installed and self._is_due(f'install {vm}', now)
+            if vm not in self._installed
         )
-
-    def _is_due(self, question: str, now: float) -> bool:
-        """Whether a question may be sent now; notes that it was."""
-        asked_at = self._asked_at.get(question, _NEVER)
-        if now - asked_at < self.terms.renew_interval:
-            return False
-        self._asked_at[question] = now
-        return True
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/candidacy.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/candidacy.py
@@ -79,7 +79,7 @@
         elif self._activation is None:
             return
         elif isinstance(reply, FenceReply):
-            self._activation.receive_fence(sender, reply, now)
+            self._activation.receive_fence(sender, reply, sent_at, now)
         elif isinstance(reply, InstallReply):
             self._activation.receive_install(sender, reply)
 
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/fence_round.py
@@ -0,0 +1,85 @@
+"""One attempt to fence a majority of an earlier list's witnesses.
+
+The replies of a majority must come within the claim timeout of asking. A
+witness that restarts abstains for longer and then reads back from the
+others, so it finds the fences of the rest of the majority. A majority that
+was gathered over a longer time could have been forgotten in part.
+"""
+
+from attrs import define, field
+
+from jacinthcroft_decisions.internal.coordination.history_messages import (
+    Outgoing,
+)
+from jacinthcroft_decisions.internal.coordination.messages import (
+    FenceReply,
+    FenceRequest,
+    Outcome,
+    ShardView,
+)
+from jacinthcroft_decisions.internal.coordination.placement import Placement
+from jacinthcroft_decisions.internal.coordination.terms import (
+    CoordinationTerms,
+    majority_of,
+)
+
+
+@define
+class FenceRound:
+    """The fences of one earlier list at one new revision."""
+
+    shard: int
+    revision: int
+    earlier: Placement
+    terms: CoordinationTerms
+    _started_at: float = field(default=float('-inf'), init=False)
+    _views: dict[str, ShardView] = field(factory=dict, init=False)
+
+    @property
+    def views(self) -> tuple[ShardView, ...]:
+        """What the fenced witnesses knew."""
+        return tuple(self._views.values())
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether a majority was fenced within one round."""
+        return len(self._views) >= majority_of(len(self._witnesses))
+
+    @property
+    def _witnesses(self) -> tuple[str, ...]:
+        return self.earlier.witnesses(self.shard)
+
+    def requests(self, now: float) -> tuple[Outgoing, ...]:
+        """Returns a new round's requests when the last one has failed."""
+        is_running = now - self._started_at <= self.terms.claim_timeout
+        if self.is_complete or is_running:
+            return ()
+        self._started_at = now
+        self._views.clear()
+        return self.repeat(self._witnesses)
+
+    def repeat(self, witnesses: tuple[str, ...]) -> tuple[Outgoing, ...]:
+        """Returns the question to some witnesses again."""
+        message = FenceRequest(
+            self.shard,
+            self.revision,
+            self.earlier.revision,
+            self._witnesses,
+        )
+        return tuple(Outgoing(vm, message) for vm in witnesses)
+
+    def receive(
+        self,
+        sender: str,
+        reply: FenceReply,
+        sent_at: float,
+        now: float,
+    ) -> None:
+        """Counts a witness that was fenced in this round."""
+        if self.is_complete or sender not in self._witnesses:
+            return
+        is_late = now - self._started_at > self.terms.claim_timeout
+        if is_late or sent_at < self._started_at:
+            return
+        if reply.outcome is Outcome.DONE and reply.view is not None:
+            self._views[sender] = reply.view
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/messages.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/messages.py
@@ -20,9 +20,10 @@
 class Outcome(enum.Enum):
     """What a witness made of a request.
 
-    `ABSTAINING`, `STALE` (the revision is fenced) and `NOT_INSTALLED` mean
-    that the witness did nothing. `HELD` names another live lease, `FREE`
-    answers a look that found none. The last five are about claims.
+    `ABSTAINING` (memory may be missing), `STALE` (the revision is fenced)
+    and `NOT_INSTALLED` mean that the witness did nothing. `HELD` names
+    another live lease, `FREE` answers a look that found none. The last five
+    are about claims.
     """
 
     DONE = 'done'
@@ -61,7 +62,9 @@
 
     `fences` are the revisions it was fenced at, `installed` the revision it
     last answered for (0 for none), `vouch_from` the key time in unix seconds
-    up to which records may be missing.
+    up to which records may be missing. `whole_at` names the list revisions
+    for which an earlier incarnation's memory was read back; `is_whole` says
+    that the witness is up so long that it need not be.
     """
 
     fences: tuple[int, ...]
@@ -69,15 +72,27 @@
     vouch_from: float
     lease: LeaseView | None
     records: tuple[ClaimRecord, ...]
+    whole_at: tuple[int, ...] = ()
+    is_whole: bool = False
+
+    def is_whole_for(self, revision: int) -> bool:
+        """Whether nothing is lost that the revision's witnesses knew."""
+        return self.is_whole or revision in self.whole_at
 
 
 @message_kind('fence-request')
 @frozen
 class FenceRequest:
-    """Asks a witness of earlier lists to serve nothing below `revision`."""
+    """Asks a witness of an earlier list to serve nothing below `revision`.
+
+    `witnesses` are those of the earlier list, for a witness that has not
+    met that list in its lifetime and has to read back what it may have lost.
+    """
 
     shard: int
     revision: int
+    earlier: int
+    witnesses: tuple[str, ...]
 
 
 @message_kind('fence-reply')
@@ -89,6 +104,7 @@
     revision: int
     outcome: Outcome
     newest: int
+    earlier: int
     view: ShardView | None = None
 
 
@@ -158,6 +174,7 @@
     shard: int
     revision: int
     incarnation: str
+    witnesses: tuple[str, ...]
 
 
 @message_kind('read-back-reply')
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/recovery.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/recovery.py
@@ -2,15 +2,19 @@
 
 An incarnation that has just started can't tell whether an earlier one was
 fenced, installed or given claims. It abstains until every lease that the
-earlier one voted for has run out, and every claimer that counted its votes
-has stopped waiting. Then it asks the other witnesses of its list, and goes
-on once so many have answered that every majority which it took part in is
-represented among them.
-
-Limit: when a majority of a shard's witnesses lose their memory at once, the
-fences which only they held are lost. What remains is the list: a witness
-refuses all revisions below the one that it first adopted, so it must ask its
-peers for the newest list before it adopts any.
+earlier one voted for has run out, and every claimer and driver that counted
+its votes has stopped waiting. Then it asks the other witnesses of the list,
+and its memory is whole once so many of them have answered that every
+majority which it took part in is represented.
+
+Others that have lost their memory as well can't represent it. They count
+when all others have answered, or when the wait for a better answer has gone
+on for a whole abstention: a fleet that starts has no memory anywhere.
+
+Limit: when several of a shard's witnesses lose their memory at once, a fence
+that only they held is lost. What remains is the list: a witness refuses all
+revisions below the one that it first adopted, so it must ask its peers for
+the newest list before it adopts any.
 """
 
 from attrs import define, field
@@ -38,8 +42,10 @@
 
     shard: int
     revision: int
-    others: tuple[str, ...]
+    vm: str
+    witnesses: tuple[str, ...]
     terms: CoordinationTerms
+    _first_asked_at: float | None = field(default=None, init=False)
     _asked_at: float = field(default=_NEVER, init=False)
     _views: dict[str, ShardView] = field(factory=dict, init=False)
 
@@ -49,38 +55,58 @@
         return tuple(self._views.values())
 
     @property
-    def needed(self) -> int:
-        """How many of the others meet every majority with the asker in it."""
-        count = len(self.others) + 1
-        return min(count - majority_of(count) + 1, len(self.others))
+    def installed_views(self) -> tuple[ShardView, ...]:
+        """The views of witnesses that answer for the revision."""
+        return tuple(
+            view for view in self.views if view.installed == self.revision
+        )
 
     @property
-    def is_complete(self) -> bool:
+    def _others(self) -> tuple[str, ...]:
+        return tuple(vm for vm in self.witnesses if vm != self.vm)
+
+    @property
+    def _needed(self) -> int:
+        """How many of the others meet every majority with the asker in it."""
+        count = len(self.witnesses)
+        return min(count - majority_of(count) + 1, count - 1)
+
+    def is_complete(self, now: float) -> bool:
         """Whether enough others have answered."""
-        return len(self._views) >= self.needed
+        if len(self._views) == len(self._others):
+            return True
+        whole = [
+            view for view in self.views if view.is_whole_for(self.revision)
+        ]
+        if len(whole) >= self._needed:
+            return True
+        return self._is_worn(now) and len(self._views) >= self._needed
 
     def requests(self, incarnation: str, now: float) -> tuple[Outgoing, ...]:
-        """Asks those that have not answered, once in a renewal interval."""
+        """Asks those that lack memory themselves or have not answered."""
         if now - self._asked_at < self.terms.renew_interval:
             return ()
+        if self._first_asked_at is None:
+            self._first_asked_at = now
         self._asked_at = now
-        message = ReadBackRequest(self.shard, self.revision, incarnation)
+        message = ReadBackRequest(
+            self.shard,
+            self.revision,
+            incarnation,
+            self.witnesses,
+        )
         return tuple(
-            Outgoing(vm, message) for vm in self.others if vm not in self._views
+            Outgoing(vm, message)
+            for vm in self._others
+            if not self._is_whole(vm)
         )
 
     def receive(self, sender: str, reply: ReadBackReply) -> None:
         """Takes another witness's answer."""
-        is_wanted = reply.outcome is Outcome.DONE and sender in self.others
+        is_wanted = reply.outcome is Outcome.DONE and sender in self._others
         if is_wanted and reply.view is not None:
             self._views[sender] = reply.view
 
-    def installed_views(self) -> tuple[ShardView, ...]:
-        """Returns the views of witnesses that answer for the revision."""
-        return tuple(
-            view for view in self.views if view.installed == self.revision
-        )
-
     def vouch_from(self, start_wall: float) -> float:
         """Returns the key time from which nothing can be missing.
 
@@ -89,6 +115,15 @@
         knew came with the installation of at least one of the others.
         """
         gaps = sorted(view.vouch_from for view in self.views)
-        own_gap = min([start_wall, *gaps[self.needed - 1 : self.needed]])
-        handed_over = [view.vouch_from for view in self.installed_views()]
+        own_gap = min([start_wall, *gaps[self._needed - 1 : self._needed]])
+        handed_over = [view.vouch_from for view in self.installed_views]
         return max(own_gap, min(handed_over, default=own_gap))
+
+    def _is_whole(self, vm: str) -> bool:
+        view = self._views.get(vm)
+        return view is not None and view.is_whole_for(self.revision)
+
+    def _is_worn(self, now: float) -> bool:
+        if self._first_asked_at is None:
+            return False
+        return now - self._first_asked_at >= self.terms.abstention
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/shard_memory.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/shard_memory.py
@@ -26,7 +26,7 @@
     vouch_from: float
     fences: set[int] = field(factory=set)
     installed: int = 0
-    is_recovered: bool = False
+    whole_at: set[int] = field(factory=set)
     lease: WitnessedLease = field(factory=WitnessedLease)
     records: dict[str, ClaimRecord] = field(factory=dict)
 
@@ -35,7 +35,7 @@
         """The highest revision that this shard was fenced at."""
         return max(self.fences, default=0)
 
-    def view(self, now: float) -> ShardView:
+    def view(self, now: float, is_whole: bool) -> ShardView:
         """Returns all of it, for drivers and restarted witnesses."""
         return ShardView(
             fences=tuple(sorted(self.fences)),
@@ -43,6 +43,8 @@
             vouch_from=self.vouch_from,
             lease=self.lease.view(now),
             records=tuple(self.records.values()),
+            whole_at=tuple(sorted(self.whole_at)),
+            is_whole=is_whole,
         )
 
     def is_stale(self, revision: int) -> bool:
@@ -68,12 +70,6 @@
         copies = (view.records for view in views)
         self._take(revision, vouch_from, merge_records(copies))
 
-    def evict(self, oldest_kept: dict[str, bool]) -> None:
-        """Forgets the records of keys that are past acceptance."""
-        for key, is_kept in oldest_kept.items():
-            if not is_kept:
-                self.records.pop(key, None)
-
     def _take(
         self,
         revision: int,
@@ -85,4 +81,5 @@
         self.installed = revision
         self.vouch_from = vouch_from
         self.fences = {known for known in self.fences if known >= revision}
+        self.whole_at = {known for known in self.whole_at if known >= revision}
         self.fences.add(revision)
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/survey.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/survey.py
@@ -18,6 +18,7 @@
     PlacementHistory,
 )
 from jacinthcroft_decisions.internal.coordination.messages import ShardView
+from jacinthcroft_decisions.internal.coordination.placement import Placement
 from jacinthcroft_decisions.internal.coordination.terms import majority_of
 
 
@@ -25,7 +26,7 @@
 class FencesNeeded:
     """Too few witnesses of an earlier list are fenced."""
 
-    witnesses: tuple[str, ...]
+    placement: Placement
 
 
 @dataclass(frozen=True)
@@ -46,7 +47,6 @@
 class PredecessorFound:
     """The last list in force is fenced; keys above `vouch_from` are known."""
 
-    revision: int
     vouch_from: float
 
 
@@ -59,52 +59,50 @@
     shard: int,
     revision: int,
     history: PlacementHistory,
-    views: Mapping[str, ShardView],
+    fenced: Mapping[int, Sequence[ShardView]],
 ) -> SurveyResult:
-    """Looks for the shard's last list in force below `revision`."""
+    """Looks for the shard's last list in force below `revision`.
+
+    `fenced` holds, by list revision, what a fenced majority of its witnesses
+    knew.
+    """
     vouch_from: float = 0
     for placement in history.earlier(revision):
         witnesses = placement.witnesses(shard)
-        heard = [views[vm] for vm in witnesses if vm in views]
-        if len(heard) < _needed(witnesses):
-            missing = tuple(vm for vm in witnesses if vm not in views)
-            return FencesNeeded(missing)
+        if not witnesses:
+            continue
+        views = fenced.get(placement.revision)
+        if views is None:
+            return FencesNeeded(placement)
         installed = [
-            view for view in heard if view.installed >= placement.revision
+            view for view in views if view.installed >= placement.revision
         ]
         floor = placement.revision if installed else 0
-        unknown = _unknown_fences(heard, floor, revision, history)
+        unknown = _unknown_fences(views, floor, revision, history)
         if unknown:
             return ListsNeeded(unknown)
-        vouch_from = max(vouch_from, _gap_of_majority(heard, len(witnesses)))
+        vouch_from = max(vouch_from, _gap_of_majority(views, len(witnesses)))
         if installed:
             handed_over = min(view.vouch_from for view in installed)
-            return PredecessorFound(
-                placement.revision,
-                max(vouch_from, handed_over),
-            )
+            return PredecessorFound(max(vouch_from, handed_over))
     return NoneInstalled(vouch_from)
 
 
-def _needed(witnesses: Sequence[str]) -> int:
-    return majority_of(len(witnesses)) if witnesses else 0
-
-
-def _gap_of_majority(heard: Sequence[ShardView], count: int) -> float:
+def _gap_of_majority(views: Sequence[ShardView], count: int) -> float:
     """Returns the key time above which a majority has no gap."""
-    gaps = sorted(view.vouch_from for view in heard)
-    return gaps[majority_of(count) - 1] if gaps else 0
+    gaps = sorted(view.vouch_from for view in views)
+    return gaps[majority_of(count) - 1]
 
 
 def _unknown_fences(
-    heard: Iterable[ShardView],
+    views: Iterable[ShardView],
     floor: int,
     revision: int,
     history: PlacementHistory,
 ) -> tuple[int, ...]:
     fences = {
         fence
-        for view in heard
+        for view in views
         for fence in view.fences
         if floor < fence < revision
     }
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness.py
@@ -27,6 +27,7 @@
 )
 
 _EVICTION_INTERVAL_SECONDS = 5.0
+_LISTS_READ_BACK = 4
 
 
 @define
@@ -42,7 +43,6 @@
     started_wall: float
     terms: CoordinationTerms
     _state: WitnessState = field(init=False)
-    _read_backs: dict[int, ReadBack] = field(factory=dict, init=False)
     _evicted_at: float = field(default=0, init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -62,6 +62,14 @@
             len(memory.records) for memory in self._state.shards.values()
         )
 
+    @property
+    def is_recovered(self) -> bool:
+        """Whether nothing that the list asks of this VM is left to read."""
+        return self._state.placement is not None and all(
+            revision != self._state.adopted
+            for _, revision in self._state.read_backs
+        )
+
     def adopt(self, placement: Placement, now: float) -> None:
         """Takes a newer list; an older or equal one changes nothing.
 
@@ -75,7 +83,10 @@
             state.first_revision = placement.revision
         state.placement = placement
         state.revisions.add(placement.revision)
-        self._plan_read_backs(placement)
+        for shard in range(state.terms.shard_count):
+            witnesses = placement.witnesses(shard)
+            state.plan_read_back(shard, placement.revision, witnesses)
+        self._drop_old_read_backs()
 
     def learn_history(self, placements: tuple[Placement, ...]) -> None:
         """Notes earlier lists, to tell of them when asked."""
@@ -96,13 +107,13 @@
         self._evict(now)
         if self._state.is_abstaining(now):
             return ()
-        incarnation = self._state.incarnation
-        for read_back in tuple(self._read_backs.values()):
-            self._finish(read_back)
+        unfinished = self._state.read_backs
+        for read_back in tuple(unfinished.values()):
+            self._finish(read_back, now)
         return tuple(
             outgoing
-            for unfinished in self._read_backs.values()
-            for outgoing in unfinished.requests(incarnation, now)
+            for waiting in unfinished.values()
+            for outgoing in waiting.requests(self.incarnation, now)
         )
 
     def receive(
@@ -114,42 +125,38 @@
         """Takes the reply to a request that `tick` returned."""
         if not isinstance(reply, ReadBackReply):
             return
-        read_back = self._read_backs.get(reply.shard)
-        is_current = reply.incarnation == self._state.incarnation
-        if read_back is None or not is_current:
+        read_back = self._state.read_backs.get((reply.shard, reply.revision))
+        if read_back is None or reply.incarnation != self.incarnation:
             return
-        if read_back.revision == reply.revision:
-            read_back.receive(sender, reply)
-            self._finish(read_back)
+        read_back.receive(sender, reply)
+        self._finish(read_back, now)
 
-    def _plan_read_backs(self, placement: Placement) -> None:
-        state = self._state
-        self._read_backs.clear()
-        for shard in range(state.terms.shard_count):
-            witnesses = placement.witnesses(shard)
-            if state.vm in witnesses and not state.memory(shard).is_recovered:
-                self._read_backs[shard] = ReadBack(
-                    shard,
-                    placement.revision,
-                    tuple(vm for vm in witnesses if vm != state.vm),
-                    state.terms,
-                )
-
-    def _finish(self, read_back: ReadBack) -> None:
+    def _finish(self, read_back: ReadBack, now: float) -> None:
         """Takes over what was read back, once enough others have answered."""
-        if not read_back.is_complete:
+        state = self._state
+        is_whole = state.is_long_up(now) or read_back.is_complete(now)
+        if state.is_abstaining(now) or not is_whole:
             return
-        memory = self._state.memory(read_back.shard)
+        memory = state.memory(read_back.shard)
         for view in read_back.views:
             memory.fences.update(view.fences)
-        views = read_back.installed_views()
+        views = read_back.installed_views
         is_served = memory.installed >= read_back.revision
-        is_stale = memory.is_stale(read_back.revision)
-        if views and not is_served and not is_stale:
-            vouch_from = read_back.vouch_from(self._state.start_wall_limit)
+        if views and not is_served and not memory.is_stale(read_back.revision):
+            vouch_from = read_back.vouch_from(state.start_wall_limit)
             memory.restore(read_back.revision, vouch_from, views)
-        memory.is_recovered = True
-        self._read_backs.pop(read_back.shard)
+        memory.whole_at.add(read_back.revision)
+        state.read_backs.pop((read_back.shard, read_back.revision))
+
+    def _drop_old_read_backs(self) -> None:
+        """Keeps the read-backs of the newest lists; drivers repeat theirs."""
+        state = self._state
+        newest = sorted(state.revisions)[-_LISTS_READ_BACK:]
+        state.read_backs = {
+            (shard, revision): read_back
+            for (shard, revision), read_back in state.read_backs.items()
+            if revision >= newest[0]
+        }
 
     def _evict(self, now: float) -> None:
         if now - self._evicted_at < _EVICTION_INTERVAL_SECONDS:
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness_handlers.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness_handlers.py
@@ -81,18 +81,25 @@
     memory = state.memory(request.shard)
     outcome = Outcome.DONE
     view = None
-    if state.is_abstaining(now):
-        outcome = Outcome.ABSTAINING
-    elif memory.is_stale(request.revision):
+    is_whole = state.is_whole_for(request.shard, request.earlier, now)
+    if memory.is_stale(request.revision):
         outcome = Outcome.STALE
+    elif state.is_abstaining(now) or not is_whole:
+        outcome = Outcome.ABSTAINING
+        state.plan_read_back(
+            request.shard,
+            request.earlier,
+            request.witnesses,
+        )
     else:
         memory.fence(request.revision)
-        view = memory.view(now)
+        view = memory.view(now, state.is_long_up(now))
     return FenceReply(
         request.shard,
         request.revision,
         outcome,
         state.newest(request.shard),
+        request.earlier,
         view,
     )
 
@@ -106,8 +113,8 @@
 ) -> InstallReply:
     memory = state.memory(request.shard)
     outcome = _judge(state, request.shard, request.revision, now)
-    is_known = memory.is_recovered or state.is_long_up(now)
-    if outcome is Outcome.NOT_INSTALLED and is_known:
+    is_whole = state.is_whole_for(request.shard, request.revision, now)
+    if outcome is Outcome.NOT_INSTALLED and is_whole:
         outcome = Outcome.DONE
         vouch_from = max(request.vouch_from, state.start_wall_limit)
         if request.is_cold:
@@ -156,13 +163,15 @@
     wall: float,
 ) -> ReadBackReply:
     is_abstaining = state.is_abstaining(now)
+    memory = state.memory(request.shard)
+    state.plan_read_back(request.shard, request.revision, request.witnesses)
     return ReadBackReply(
         request.shard,
         request.revision,
         Outcome.ABSTAINING if is_abstaining else Outcome.DONE,
         state.newest(request.shard),
         request.incarnation,
-        None if is_abstaining else state.memory(request.shard).view(now),
+        None if is_abstaining else memory.view(now, state.is_long_up(now)),
     )
 
 
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness_state.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness_state.py
@@ -3,6 +3,7 @@
 from attrs import define, field
 
 from jacinthcroft_decisions.internal.coordination.placement import Placement
+from jacinthcroft_decisions.internal.coordination.recovery import ReadBack
 from jacinthcroft_decisions.internal.coordination.shard_memory import (
     ShardMemory,
 )
@@ -27,6 +28,10 @@
     first_revision: int = field(default=0, init=False)
     revisions: set[int] = field(factory=set, init=False)
     shards: dict[int, ShardMemory] = field(factory=dict, init=False)
+    read_backs: dict[tuple[int, int], ReadBack] = field(
+        factory=dict,
+        init=False,
+    )
 
     @property
     def start_wall_limit(self) -> float:
@@ -48,6 +53,31 @@
         """Whether nothing that an earlier incarnation knew matters now."""
         return now >= self.started_at + self.terms.key_retention
 
+    def is_whole_for(self, shard: int, revision: int, now: float) -> bool:
+        """Whether no vote under the revision can have been forgotten."""
+        if self.is_long_up(now):
+            return True
+        return revision in self.memory(shard).whole_at
+
+    def plan_read_back(
+        self,
+        shard: int,
+        revision: int,
+        witnesses: tuple[str, ...],
+    ) -> None:
+        """Starts to read back what may be lost of a list's votes."""
+        is_whole = revision in self.memory(shard).whole_at
+        is_planned = (shard, revision) in self.read_backs
+        if is_whole or is_planned or self.vm not in witnesses:
+            return
+        self.read_backs[shard, revision] = ReadBack(
+            shard,
+            revision,
+            self.vm,
+            witnesses,
+            self.terms,
+        )
+
     def memory(self, shard: int) -> ShardMemory:
         """Returns the shard's memory, a new one being fenced at the list."""
         known = self.shards.get(shard)
