Judge paths by leaving suspects out; split ejection from judgement

Cause: a target that fails for everybody now and then was first taken for a set of broken paths; probes were never asked before a trial began. Change: a path is at fault only if the rest of the reports are fine; probes lead trials; targets that return to use start cold.

--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell.py
@@ -33,7 +33,10 @@
     PermitRenewal,
     PermitReport,
 )
-from jacinthcroft_decisions.internal.traffic.probe_plan import ProbePlan
+from jacinthcroft_decisions.internal.traffic.probe_plan import (
+    PROBE_LEAD_SECONDS,
+    ProbePlan,
+)
 from jacinthcroft_decisions.internal.traffic.target_choice import TargetChoice
 from jacinthcroft_decisions.internal.traffic.target_pool import TargetPool
 
@@ -144,7 +147,9 @@
 
     def probe_wanted(self, now: float) -> str | None:
         """Returns the target that the one prober should ask now, if any."""
-        return self._probes.next_target(self._pool.health.due_trials(now), now)
+        soon = now + PROBE_LEAD_SECONDS
+        due = self._pool.health.due_trials(soon)
+        return self._probes.next_target(due, now)
 
     def probe_result(
         self,
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell_health.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell_health.py
@@ -1,31 +1,26 @@
-"""The one judge of a cell's targets: ejection, its floor, readmission.
+"""The one judge of a cell's targets: is a target or a path to it at fault?
 
-At least `ceil(floor * active targets)` stay in use whatever their health.
-Worse targets are judged before better ones, and when fewer targets are
-active than before, the least bad ejected ones return.
+Worse targets are judged before better ones, so that the floor (`ejection`)
+keeps the least bad.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from random import Random
 
 from jacinthcroft_decisions.internal.traffic.cell_outcomes import (
-    CellEvent,
-    EjectionWithheld,
+    EventSink,
     PathBlocked,
-    TargetEjected,
-    TargetReadmitted,
 )
 from jacinthcroft_decisions.internal.traffic.detectors import (
     DETECTORS,
     CellNorm,
     RunSample,
 )
+from jacinthcroft_decisions.internal.traffic.ejection import Ejection
 from jacinthcroft_decisions.internal.traffic.health_roster import HealthRoster
 from jacinthcroft_decisions.internal.traffic.path_blame import PathVerdict
 from jacinthcroft_decisions.internal.traffic.target_health import Standing
 
-EventSink = Callable[[CellEvent], None]
-
 
 class CellHealth:
     """Draws the conclusions from what the VMs report."""
@@ -35,7 +30,7 @@
         self.norm = CellNorm()
         self.roster = HealthRoster(random)
         self._tell = tell
-        self._withheld: set[str] = set()
+        self._ejection = Ejection(self.roster, tell)
 
     def may_reach(self, target: str, vm: str, zone: str, now: float) -> bool:
         """Whether a VM's path to an active target is not at fault.
@@ -68,8 +63,7 @@
     ) -> None:
         """Takes over which targets exist, and which of them are active."""
         self.roster.reconfigure(listed, active, floor)
-        self._withheld &= set(self.roster)
-        self._restore_floor(now)
+        self._ejection.restore_floor(now)
 
     def note(self, target: str, sample: RunSample, now: float) -> None:
         """Takes in a finished use of an active target."""
@@ -77,7 +71,7 @@
         usual = self.roster.usual_shares(target)
         health.observe(sample, self.norm, usual, now)
         if health.standing is Standing.TRIAL and health.has_passed_trial():
-            self._readmit(target, now, is_for_floor=False)
+            self._ejection.readmit(target, now)
 
     def judge(self, target: str, vm: str, now: float) -> None:
         """Draws the conclusions from what a VM reported of a target."""
@@ -95,11 +89,7 @@
         """Judges again, since evidence fades and paths are forgotten."""
         for name in self.roster:
             self.roster[name].paths.forget_old(now)
-        self._withheld = {
-            withheld
-            for withheld in self._withheld
-            if self.roster[withheld].scores.tripped(now)
-        }
+        self._ejection.forget_withheld(now)
         self._judge(self.roster.in_use, now)
 
     def _judge_path(self, target: str, vm: str, now: float) -> None:
@@ -133,13 +123,7 @@
                 self._block_paths(target, verdict, now)
                 health.scores.restart(names, 0, now)
                 return
-        if len(self.roster.in_use) > self.roster.floor_count:
-            health.eject(now)
-            reasons = health.reasons(now)
-            self._tell(TargetEjected(target, reasons, health.retry_at, now))
-        elif target not in self._withheld:
-            self._withheld.add(target)
-            self._tell(EjectionWithheld(target, names, now))
+        self._ejection.eject_or_withhold(target, now)
 
     def _block_paths(
         self,
@@ -151,18 +135,3 @@
         if paths:
             self.roster[target].paths.block(verdict, now)
             self._tell(PathBlocked(target, paths, now))
-
-    def _readmit(self, target: str, now: float, *, is_for_floor: bool) -> None:
-        self.roster[target].readmit(now)
-        self._tell(TargetReadmitted(target, is_for_floor, now))
-
-    def _restore_floor(self, now: float) -> None:
-        out = [
-            name
-            for name in self.roster
-            if self.roster[name].standing is not Standing.IN_USE
-        ]
-        out.sort(key=lambda name: self.roster[name].rank_for_return)
-        missing = self.roster.floor_count - len(self.roster.in_use)
-        for name in out[: max(0, missing)]:
-            self._readmit(name, now, is_for_floor=True)
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell_outcomes.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell_outcomes.py
@@ -1,6 +1,7 @@
 """What a cell answers, shows and tells: outcomes, views and events."""
 
 import enum
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from attrs import frozen
@@ -101,3 +102,5 @@
     | PathBlocked
     | ColdStartNoticed
 )
+
+EventSink = Callable[[CellEvent], None]
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/detectors.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/detectors.py
@@ -27,8 +27,13 @@
 
 @frozen
 class CellNorm:
-    """What is usual in the cell: answers past `stall_seconds` are slow."""
+    """What is usual in the cell at present, in seconds.
 
+    Most answers take less than `usual_seconds`; past `stall_seconds` an
+    answer is slow.
+    """
+
+    usual_seconds: float = 0
     stall_seconds: float = float('inf')
 
 
@@ -78,7 +83,8 @@
 def is_stall(sample: RunSample, norm: CellNorm) -> Verdict:
     """Passed deadlines, and callers that gave up on a slow answer."""
     if sample.outcome is RunOutcome.STALLED:
-        return True
+        # A deadline shorter than a usual answer says nothing of the target.
+        return True if sample.latency >= norm.usual_seconds else None
     if sample.outcome is RunOutcome.CANCELLED:
         return True if sample.latency > norm.stall_seconds else None
     return False if _is_whole_answer(sample) else None
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/ejection.py
@@ -0,0 +1,84 @@
+"""Ejects and readmits targets above the ejection floor.
+
+At least `ceil(floor * active targets)` stay in use whatever their health.
+When fewer targets are active than before, the least bad ejected ones return
+at once; when a sick target is kept for the floor's sake, the least bad
+ejected one is tried early, so that it may take the place.
+"""
+
+from jacinthcroft_decisions.internal.traffic.cell_outcomes import (
+    EjectionWithheld,
+    EventSink,
+    TargetEjected,
+    TargetReadmitted,
+)
+from jacinthcroft_decisions.internal.traffic.health_roster import HealthRoster
+from jacinthcroft_decisions.internal.traffic.target_health import Standing
+
+
+class Ejection:
+    """Changes of standing, within the floor."""
+
+    def __init__(self, roster: HealthRoster, tell: EventSink) -> None:
+        """Works on a roster; `tell` gets the events."""
+        self._roster = roster
+        self._tell = tell
+        self._withheld: set[str] = set()
+
+    def eject_or_withhold(self, target: str, now: float) -> None:
+        """Ejects a tripped target if the floor allows it."""
+        if not self.may_eject():
+            self._withhold(target, now)
+            return
+        health = self._roster[target]
+        health.eject(now)
+        reasons = health.reasons(now)
+        self._tell(TargetEjected(target, reasons, health.retry_at, now))
+
+    def may_eject(self) -> bool:
+        """Whether one target less in use is still enough."""
+        return len(self._roster.in_use) > self._roster.floor_count
+
+    def readmit(
+        self,
+        target: str,
+        now: float,
+        *,
+        is_for_floor: bool = False,
+    ) -> None:
+        """Puts a target back in use."""
+        self._roster[target].readmit(now)
+        self._tell(TargetReadmitted(target, is_for_floor, now))
+
+    def restore_floor(self, now: float) -> None:
+        """Readmits the least bad targets while too few are in use."""
+        out = [
+            name
+            for name in self._roster
+            if self._roster[name].standing is not Standing.IN_USE
+        ]
+        out.sort(key=self._rank_for_return)
+        missing = self._roster.floor_count - len(self._roster.in_use)
+        for name in out[: max(0, missing)]:
+            self.readmit(name, now, is_for_floor=True)
+
+    def forget_withheld(self, now: float) -> None:
+        """Drops the targets that are no longer sick or no longer active."""
+        self._withheld = {
+            name
+            for name in self._withheld.intersection(self._roster)
+            if self._roster[name].scores.tripped(now)
+        }
+
+    def _withhold(self, target: str, now: float) -> None:
+        ejected = self._roster.standing_as(Standing.EJECTED)
+        if ejected:
+            least_bad = min(ejected, key=self._rank_for_return)
+            self._roster[least_bad].hasten_trial(now)
+        if target not in self._withheld:
+            self._withheld.add(target)
+            reasons = self._roster[target].scores.tripped(now)
+            self._tell(EjectionWithheld(target, reasons, now))
+
+    def _rank_for_return(self, target: str) -> tuple[float, float]:
+        return self._roster[target].rank_for_return
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/path_blame.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/path_blame.py
@@ -6,7 +6,6 @@
 """
 
 import math
-from collections.abc import Iterable
 from random import Random
 
 from attrs import Factory, define, frozen
@@ -23,8 +22,7 @@
 _MIN_WEIGHT = 0.25
 BLAMING_BAD_SHARE = 0.15
 _MIN_BAD_WEIGHT = 0.5
-_AGREEING_ZONES = 2
-_MIN_ZONE_VMS = 2
+_MIN_REST_WEIGHT = 1.0
 FORGET_VM_SECONDS = 120.0
 
 
@@ -61,7 +59,9 @@
 
     def is_blaming(self) -> bool:
         """Whether what the VM saw speaks against the target."""
-        return _is_blaming([self])
+        if self.bad < _MIN_BAD_WEIGHT:
+            return False
+        return self.bad >= BLAMING_BAD_SHARE * (self.bad + self.good)
 
 
 @define
@@ -93,24 +93,23 @@
         return signs is not None and signs.score.is_tripped(now)
 
     def verdict(self, now: float) -> PathVerdict:
-        """Judges by what all VMs saw lately."""
+        """Judges by what all VMs saw lately.
+
+        A few VMs, or one zone, are at fault only if nothing speaks against
+        the target once what they saw is left out.
+        """
         reporting = self._reporting(now)
         blaming = {vm for vm in reporting if reporting[vm].is_blaming()}
-        zones = _by_zone(reporting.values())
-        blaming_zones = {zone for zone in zones if _zone_blames(zones[zone])}
-        if len(blaming_zones) >= _AGREEING_ZONES:
-            return PathVerdict(is_target=True)
         if 2 * len(blaming) > len(reporting):
             return PathVerdict(is_target=True)
-        whole_zones = {
-            zone for zone in blaming_zones if len(zones[zone]) >= _MIN_ZONE_VMS
-        }
-        outside = {vm for vm in blaming if self._zone(vm) not in whole_zones}
-        return PathVerdict(
-            is_target=False,
-            vms=frozenset(outside),
-            zones=frozenset(whole_zones),
-        )
+        suspects = self._suspect_vms(reporting, now)
+        if _is_fine(reporting, suspects):
+            return PathVerdict(is_target=False, vms=frozenset(suspects))
+        zone = _worst_zone(reporting)
+        in_zone = {vm for vm in reporting if reporting[vm].zone == zone}
+        if _is_fine(reporting, in_zone):
+            return PathVerdict(is_target=False, zones=frozenset((zone,)))
+        return PathVerdict(is_target=True)
 
     def note(
         self,
@@ -165,8 +164,15 @@
             if known.is_reporting()
         }
 
-    def _zone(self, vm: str) -> str:
-        return self._signs[vm].zone
+    def _suspect_vms(
+        self,
+        reporting: dict[str, _VmSigns],
+        now: float,
+    ) -> set[str]:
+        """The VM that saw the worst, and all that have evidence enough."""
+        worst = max(reporting, key=lambda vm: reporting[vm].bad, default=None)
+        tripped = {vm for vm in reporting if self.has_tripped(vm, now)}
+        return tripped if worst is None else tripped | {worst}
 
     def _prolong(
         self,
@@ -179,22 +185,16 @@
             block.until = now + block.backoff.next_pause(now, self._random)
 
 
-def _by_zone(all_signs: Iterable[_VmSigns]) -> dict[str, list[_VmSigns]]:
-    zones: dict[str, list[_VmSigns]] = {}
-    for signs in all_signs:
-        zones.setdefault(signs.zone, []).append(signs)
-    return zones
-
-
-def _is_blaming(signs: list[_VmSigns]) -> bool:
-    bad = sum(sign.bad for sign in signs)
-    seen = sum(sign.bad + sign.good for sign in signs)
-    return bad >= _MIN_BAD_WEIGHT and bad >= BLAMING_BAD_SHARE * seen
+def _worst_zone(reporting: dict[str, _VmSigns]) -> str:
+    weights: dict[str, float] = {}
+    for signs in reporting.values():
+        weights[signs.zone] = weights.get(signs.zone, 0) + signs.bad
+    return max(weights, key=weights.__getitem__, default='')
 
 
-def _zone_blames(signs: list[_VmSigns]) -> bool:
-    """Whether most VMs of a zone, or several with weight, see the fault."""
-    blaming = sum(sign.is_blaming() for sign in signs)
-    if 2 * blaming > len(signs):
-        return True
-    return blaming >= _MIN_ZONE_VMS and _is_blaming(signs)
+def _is_fine(reporting: dict[str, _VmSigns], left_out: set[str]) -> bool:
+    """Whether the rest uses the target, and without more than noise."""
+    rest = [reporting[vm] for vm in reporting if vm not in left_out]
+    bad = sum(signs.bad for signs in rest)
+    seen = bad + sum(signs.good for signs in rest)
+    return seen >= _MIN_REST_WEIGHT and bad < BLAMING_BAD_SHARE * seen
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/probe_plan.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/probe_plan.py
@@ -8,6 +8,8 @@
 from collections.abc import Iterable
 
 PROBE_INTERVAL_SECONDS = 0.5
+# A target is probed so long before its trial begins.
+PROBE_LEAD_SECONDS = 0.5
 MAX_FAILED_PROBES = 2
 
 
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/target_health.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/target_health.py
@@ -8,7 +8,10 @@
 from collections.abc import Mapping
 from random import Random
 
-from jacinthcroft_decisions.internal.traffic.backoff import Backoff
+from jacinthcroft_decisions.internal.traffic.backoff import (
+    FIRST_BACKOFF_SECONDS,
+    Backoff,
+)
 from jacinthcroft_decisions.internal.traffic.detectors import (
     DETECTORS,
     CellNorm,
@@ -80,15 +83,23 @@
         if self._standing is not Standing.IN_USE:
             self._observe_trial(sample, verdicts, now)
             return
+        of_path = {
+            name: is_bad
+            for name, is_bad in verdicts.items()
+            if DETECTORS[name].blames_path and is_bad is not None
+        }
         is_blocked = self.paths.is_blocked(sample.vm, sample.zone, now)
-        self._note_path(sample, verdicts, usual, now)
+        if of_path:
+            self.paths.note(
+                sample.vm,
+                sample.zone,
+                is_bad=any(of_path.values()),
+                usual_share=max(usual[name] for name in of_path),
+                now=now,
+            )
         if is_blocked:
             # What a blocked path still brings says nothing of the target.
-            verdicts = {
-                name: is_bad
-                for name, is_bad in verdicts.items()
-                if not DETECTORS[name].blames_path
-            }
+            verdicts = {**verdicts, **dict.fromkeys(of_path)}
         self.scores.note(verdicts, usual, now)
 
     def eject(self, now: float) -> None:
@@ -102,6 +113,10 @@
         """Waits for another pause of the same length."""
         self._retry_at = now + self._backoff.pause
 
+    def hasten_trial(self, now: float) -> None:
+        """Cuts the pause short: the target may be needed."""
+        self._retry_at = min(self._retry_at, now + FIRST_BACKOFF_SECONDS)
+
     def begin_trial(self, now: float) -> None:
         """Allows one request at a time."""
         self._stand(Standing.TRIAL, now)
@@ -134,27 +149,6 @@
         elif False in verdicts.values():
             self._trial_answers += 1
 
-    def _note_path(
-        self,
-        sample: RunSample,
-        verdicts: Mapping[str, Verdict],
-        usual: Mapping[str, float],
-        now: float,
-    ) -> None:
-        signs = {
-            name: is_bad
-            for name, is_bad in verdicts.items()
-            if is_bad is not None and DETECTORS[name].blames_path
-        }
-        if signs:
-            self.paths.note(
-                sample.vm,
-                sample.zone,
-                is_bad=any(signs.values()),
-                usual_share=max(usual[name] for name in signs),
-                now=now,
-            )
-
     def _stand(self, standing: Standing, now: float) -> None:
         self._standing = standing
         self._standing_since = now
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/target_pool.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/target_pool.py
@@ -177,10 +177,13 @@
         if quantiles:
             usual = statistics.median(quantiles)
             stall = max(MIN_STALL_SECONDS, STALL_FACTOR * usual)
-            self.health.norm = CellNorm(stall_seconds=stall)
+            self.health.norm = CellNorm(usual, stall)
 
     def _sync_health(self, now: float) -> None:
-        active = [name for name in self._listed if self.is_open(name, now)]
+        active = {name for name in self._listed if self.is_open(name, now)}
+        for name in active.difference(self.health.roster):
+            # Whatever happened meanwhile, it may have been started anew.
+            self.targets[name].turn_cold(now)
         self.health.reconfigure(self._listed, active, self._floor, now)
 
     def _tell(self, event: CellEvent) -> None:
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_ledger.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_ledger.py
@@ -23,6 +23,8 @@
 # Grants of this long count when a scarce bucket is split.
 SHARE_WINDOW_SECONDS = 1.0
 MAX_RETRY_AFTER_SECONDS = 1.0
+# A VM that asks wants something, whatever rate it reports.
+MIN_DEMAND_RATE = 0.1
 
 
 @frozen
@@ -148,7 +150,7 @@
 
     def _note_demand(self, ask: TokenAsk, now: float) -> None:
         oldest = now - DEMAND_MEMORY_SECONDS
-        self._demands[ask.vm] = _Demand(max(ask.demand, 0), now)
+        self._demands[ask.vm] = _Demand(max(ask.demand, MIN_DEMAND_RATE), now)
         for vm, demand in tuple(self._demands.items()):
             if demand.reported_at < oldest:
                 self._demands.pop(vm)
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_purse.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_purse.py
@@ -17,8 +17,9 @@
 )
 
 DEMAND_WINDOW_SECONDS: Final = 1.0
-# The stock that the purse aims at, in seconds of the recent demand.
-STOCK_SECONDS: Final = 0.5
+# The stock that the purse aims at, in seconds of the recent demand; it is
+# no more than half a lifetime, so that few tokens expire unspent.
+MAX_STOCK_SECONDS: Final = 0.5
 # Below this expected need in the stock's time nothing is held in stock.
 MIN_EXPECTED_TOKENS: Final = 0.5
 
@@ -54,6 +55,7 @@
         self._demand: float = 0
         self._demand_at: float = 0
         self._unmet = 0
+        self._stock_seconds = MAX_STOCK_SECONDS
 
     def demand(self, now: float) -> float:
         """Returns the recent demand in requests per second."""
@@ -72,13 +74,16 @@
         grant. The caller keeps one question in flight at a time.
         """
         stock = self.stock(now)
-        expected = self.demand(now) * STOCK_SECONDS
+        demand = self.demand(now)
+        # Polling for a token is no new demand.
+        unmet = min(self._unmet, math.ceil(demand))
+        expected = demand * self._stock_seconds
         if expected < MIN_EXPECTED_TOKENS:
-            return max(0, self._unmet - stock)
+            return max(0, unmet - stock)
         aim = math.ceil(expected)
-        if stock * 2 > aim and not self._unmet:
+        if stock * 2 > aim and not unmet:
             return 0
-        return max(0, aim + self._unmet - stock)
+        return max(0, aim + unmet - stock)
 
     def note_demand(self, now: float) -> None:
         """Counts one request that needs a token."""
@@ -103,6 +108,7 @@
         self._unmet = 0
         expires_at = asked_at + grant.lifetime
         if grant.tokens > 0:
+            self._stock_seconds = min(MAX_STOCK_SECONDS, grant.lifetime / 2)
             self._lots.append(_Lot(grant.grant_id, expires_at, grant.tokens))
             self._lots.sort(key=_expiry)
         self._drop_expired(now)
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_terms.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_terms.py
@@ -16,7 +16,9 @@
 from jacinthcroft_config import Team
 
 MAX_LIFETIME_SECONDS = 1.0
-MIN_LIFETIME_SECONDS = 0.02
+MIN_LIFETIME_SECONDS = 0.03
+# A burst of one has no half to spare: its refill is lowered by this share.
+_SINGLE_BURST_SHARE = 0.1
 
 # Keeps rounding of sums of floats on the safe side of the promise.
 _ROUNDING_TOKENS = 1e-6
@@ -44,9 +46,10 @@
         if team.rate <= 0 or team.burst < 1:
             return cls(capacity=0, refill=0, lifetime=MIN_LIFETIME_SECONDS)
         half_burst = max(1.0, team.burst / 2)
+        spare = max(team.burst - half_burst, _SINGLE_BURST_SHARE)
         lifetime = min(
             MAX_LIFETIME_SECONDS,
-            max(MIN_LIFETIME_SECONDS, (team.burst - half_burst) / team.rate),
+            max(MIN_LIFETIME_SECONDS, spare / team.rate),
         )
         reach = lifetime + 1 / team.rate
         refill = min(team.rate, (team.burst + 1 - half_burst) / reach)
