--- /dev/null
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/documents.py
@@ -0,0 +1,82 @@
+"""Settings files, VM lists and service files as the harness writes them."""
+
+import json
+from collections.abc import Iterable, Mapping
+
+from attrs import frozen
+from jacinthcroft_config import Address, Vm
+
+_TARGETS_BEGIN = '[targets.'
+
+
+@frozen
+class TargetEntry:
+    """One target as a service file names it."""
+
+    name: str
+    address: str
+    zone: str
+    state: str = 'active'
+
+
+def write_settings(
+    vm: Vm,
+    platform: Address,
+    secret_file: str,
+    tunables: Mapping[str, float],
+) -> str:
+    """Returns the settings of one VM."""
+    lines = [
+        '[vm]',
+        f'name = "{vm.name}"',
+        f'zone = "{vm.zone}"',
+        '[listen]',
+        f'callers = "{vm.callers}"',
+        f'peers = "{vm.peers}"',
+        f'operators = "{vm.operators}"',
+        '[platform]',
+        f'address = "{platform}"',
+        '[fleet]',
+        f'secret_file = "{secret_file}"',
+        '[tunables]',
+    ]
+    lines.extend(f'{name} = {number}' for name, number in tunables.items())
+    return '\n'.join((*lines, ''))
+
+
+def write_vm_list(vms: Iterable[Vm], zones_out: Iterable[str]) -> str:
+    """Returns the platform's list of VMs."""
+    entries = [
+        {
+            'name': vm.name,
+            'zone': vm.zone,
+            'state': vm.state.value,
+            'callers': str(vm.callers),
+            'peers': str(vm.peers),
+            'operators': str(vm.operators),
+        }
+        for vm in vms
+    ]
+    return json.dumps({'vms': entries, 'zones_out': sorted(zones_out)})
+
+
+def replace_targets(text: str, targets: Iterable[TargetEntry]) -> str:
+    """Returns a service file with other targets.
+
+    The targets' tables must be the last ones of the file.
+    """
+    head, _, _ = text.partition(_TARGETS_BEGIN)
+    tables = [_write_target(target) for target in targets]
+    return '\n'.join((head, *tables))
+
+
+def _write_target(target: TargetEntry) -> str:
+    return '\n'.join(
+        (
+            f'{_TARGETS_BEGIN}{target.name}]',
+            f'address = "{target.address}"',
+            f'zone = "{target.zone}"',
+            f'state = "{target.state}"',
+            '',
+        )
+    )
--- a/packages/testkit/src/jacinthcroft_testkit/internal/link_messages.py
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/link_messages.py
@@ -2,7 +2,11 @@
 
 from attrs import field, frozen
 
-from jacinthcroft_testkit.internal.links import Direction, Setting
+from jacinthcroft_testkit.internal.links import (
+    BOTH_DIRECTIONS,
+    Direction,
+    Setting,
+)
 
 
 @frozen
@@ -31,4 +35,4 @@
 
     pattern: str
     setting: Setting = field(factory=Setting)
-    directions: tuple[Direction, ...] = tuple(Direction)
+    directions: tuple[Direction, ...] = BOTH_DIRECTIONS
--- a/packages/testkit/src/jacinthcroft_testkit/internal/links.py
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/links.py
@@ -46,6 +46,9 @@
     BACKWARD = 'backward'
 
 
+BOTH_DIRECTIONS = (Direction.FORWARD, Direction.BACKWARD)
+
+
 @frozen
 class Setting:
     """A mode; `delay_ms` counts for `DELAY` only."""
--- a/packages/testkit/src/jacinthcroft_testkit/internal/target_server.py
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/target_server.py
@@ -89,7 +89,7 @@
 @_ending(Behaviour.ERROR)
 async def _fail(job: Job) -> Response:
     job.finish(RunResult.FAILED)
-    return Response(_ERROR, job.headers, b'failed\n')
+    return Response(_ERROR, job.headers, job.body)
 
 
 @_ending(Behaviour.RESET)
