--- a/packages/http/src/jacinthcroft_http/internal/server.py
+++ b/packages/http/src/jacinthcroft_http/internal/server.py
@@ -1,19 +1,25 @@
 """A listening port and the connections that came through it."""
 
 import asyncio
-from typing import Self
+from typing import Final, Self
 
-from jacinthcroft_http.internal.clock import now
 from jacinthcroft_http.internal.connection import (
-    BadRequestAnswer,
-    Handler,
-    Phase,
     ServerConnection,
     ServerLimits,
 )
+from jacinthcroft_http.internal.connection_set import ConnectionSet
+from jacinthcroft_http.internal.conversation import (
+    BadRequestAnswer,
+    Conversation,
+    Handler,
+    Service,
+)
+
+BACKLOG: Final = 1024
 
-BACKLOG = 1024
-DRAIN_POLL_SECONDS = 0.02
+# A connection on which no request has come yet was opened for one that is
+# likely on its way when the draining begins.
+NEW_CONNECTION_GRACE_SECONDS: Final = 0.5
 
 
 class Server:
@@ -26,12 +32,15 @@
         on_bad_request: BadRequestAnswer,
     ) -> None:
         """Prepares a server; `start` opens its port."""
-        self._limits = limits
-        self._handler = handler
-        self._on_bad_request = on_bad_request
-        self._connections: set[ServerConnection] = set()
+        self._service = Service(
+            limits,
+            handler,
+            on_bad_request,
+            lambda: self._is_leaving,
+        )
+        self._connections = ConnectionSet(limits)
         self._listener: asyncio.Server | None = None
-        self._is_draining = False
+        self._is_leaving = False
 
     @classmethod
     def from_limits(
@@ -50,10 +59,7 @@
     @property
     def running(self) -> int:
         """How many requests are being read or answered."""
-        return sum(
-            connection.phase in {Phase.HEAD, Phase.REQUEST}
-            for connection in self._connections
-        )
+        return self._connections.running
 
     @property
     def open_connections(self) -> int:
@@ -76,35 +82,49 @@
         bound: int = self._listener.sockets[0].getsockname()[1]
         return bound
 
+    def stop_keep_alive(self) -> None:
+        """Makes each further answer its connection's last.
+
+        Called some seconds before `drain`, this lets callers move away
+        without ever finding a connection closed under a request.
+        """
+        self._is_leaving = True
+
     async def drain(self, timeout: float) -> int:
         """Stops accepting, ends what is running and closes the rest.
 
         Returns:
             How many requests were cut because `timeout` seconds had passed.
         """
+        self.stop_keep_alive()
         # What the kernel already holds is taken in before the port closes.
         await asyncio.sleep(0)
         await asyncio.sleep(0)
-        self._is_draining = True
         if self._listener is not None:
             self._listener.close()
-        for connection in tuple(self._connections):
-            connection.is_last_request = True
-            connection.close_if_idle()
-        deadline = now() + timeout
-        while self._connections and now() < deadline:
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
-        cut = self.running
-        for remaining in tuple(self._connections):
-            remaining.abort()
-        return cut
+        self._connections.close_idle(served_at_least=1)
+        asyncio.get_running_loop().call_later(
+            NEW_CONNECTION_GRACE_SECONDS,
+            self._close_unused,
+        )
+        try:
+            async with asyncio.timeout(timeout):
+                await self._connections.wait_empty()
+        except TimeoutError:
+            return self._connections.cut()
+        return 0
+
+    def _close_unused(self) -> None:
+        self._connections.close_idle(served_at_least=0)
 
     def _connect(self) -> ServerConnection:
         connection = ServerConnection(
-            self._limits,
-            self._handler,
-            self._on_bad_request,
-            self._connections,
+            self._service.limits,
+            self._serve,
+            self._connections.discard,
         )
-        connection.is_last_request = self._is_draining
+        self._connections.add(connection)
         return connection
+
+    async def _serve(self, connection: ServerConnection) -> None:
+        await Conversation(self._service, connection).run()
