Make the demo run against the daemon

Cause: the daemon runs now. Change: a load at a rate instead of a closed loop, since fast refusals used a closed loop's requests up within one outage; callers leave VMs that left the list; open routes are told as team 'open'.

--- a/packages/testkit/src/jacinthcroft_testkit/demo.py
+++ b/packages/testkit/src/jacinthcroft_testkit/demo.py
@@ -24,7 +24,7 @@
 from jacinthcroft_testkit.internal.history import History, OutcomeKind
 from jacinthcroft_testkit.internal.kinds import kinds_of
 from jacinthcroft_testkit.internal.latency import Latency
-from jacinthcroft_testkit.internal.load import run_closed
+from jacinthcroft_testkit.internal.load import run_closed, run_mixed
 from jacinthcroft_testkit.internal.report import (
     Comparison,
     print_row,
@@ -53,8 +53,8 @@
 class DemoPlan:
     """How much the demo sends; `answered_share` is of all requests."""
 
-    requests: int = 600
-    workers: int = 16
+    requests: int = 800
+    rate: float = 25
     latency_requests: int = 200
     answered_share: float = 0.9
     seed: int = 1
@@ -70,10 +70,12 @@
     _pool: ConnectionPool
     _randomness: random.Random
     _recorder: Recorder = field(factory=Recorder, init=False)
+    _balancer: Balancer = field(init=False)
     _killed_late: list[str] = field(factory=list, init=False)
 
     async def run(self) -> bool:
         """Runs everything and returns whether every statement holds."""
+        self._balancer = Balancer(self._entrances(), self._randomness)
         comparison = await self._compare_latency()
         async with asyncio.TaskGroup() as group:
             load = group.create_task(self._load())
@@ -111,19 +113,20 @@
     async def _time_calls(
         self,
         kind: RequestKind,
-        entrances: Sequence[Entrance],
+        entrances: list[Entrance],
         recorder: Recorder,
     ) -> Latency:
-        caller = self._caller(entrances, recorder)
+        balancer = Balancer(entrances, self._randomness)
+        caller = self._caller(balancer, recorder)
         requests = self._plan.latency_requests
         await run_closed(caller, [kind], 1, requests, self._randomness)
         return Latency.from_records(recorder.sent, recorder.outcomes)
 
     async def _load(self) -> None:
-        await run_closed(
-            self._caller(self._entrances(), self._recorder),
+        await run_mixed(
+            self._caller(self._balancer, self._recorder),
             self._kinds(),
-            self._plan.workers,
+            self._plan.rate,
             self._plan.requests,
             self._randomness,
         )
@@ -138,6 +141,7 @@
             print_row(f'killed {name} after', len(self._recorder.final))
             self._fleet.vms.entries.pop(name)
             seconds = await self._fleet.spread_vm_list()
+            self._balancer.retire(name)
             print_row('  its list in force after', f'{seconds:.2f} s')
 
     def _state(self, history: History) -> list[Statement]:
@@ -161,10 +165,9 @@
 
     def _caller(
         self,
-        entrances: Sequence[Entrance],
+        balancer: Balancer,
         recorder: Recorder,
     ) -> Caller:
-        balancer = Balancer(entrances, self._randomness)
         return Caller(balancer, recorder, self._pool, self._randomness)
 
 
--- a/packages/testkit/src/jacinthcroft_testkit/internal/kinds.py
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/kinds.py
@@ -7,6 +7,9 @@
 
 from jacinthcroft_testkit.internal.requests import RequestKind
 
+# What targets are told of requests that need no key.
+OPEN_TEAM = 'open'
+
 _PARAMETER = re.compile('{[^}]*}')
 _BODY_METHODS = ('POST', 'PUT')
 _CALLER_PATIENCE_SECONDS = 1.0
@@ -20,7 +23,7 @@
     """
     for route in service.routes:
         if route.access is Access.OPEN:
-            yield _kind_of(service, route, '')
+            yield _kind_of(service, route, OPEN_TEAM)
         for team in route.teams:
             yield _kind_of(service, route, team)
 
@@ -31,7 +34,7 @@
     return RequestKind(
         service=service.name,
         team=team,
-        api_key=f'example-key-{team}' if team else '',
+        api_key='' if team == OPEN_TEAM else f'example-key-{team}',
         method=method,
         path=_PARAMETER.sub('{n}', route.path),
         is_idempotent=route.is_idempotent,
--- a/packages/testkit/src/jacinthcroft_testkit/internal/load.py
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/load.py
@@ -39,6 +39,22 @@
             group.create_task(_work_off(caller, queue))
 
 
+async def run_mixed(
+    caller: Caller,
+    kinds: Sequence[RequestKind],
+    rate: float,
+    requests: int,
+    randomness: random.Random,
+) -> None:
+    """Sends requests of random kinds at a rate, whatever the answers."""
+    due = now()
+    async with asyncio.TaskGroup() as group:
+        for _ in range(requests):
+            due += randomness.expovariate(rate)
+            await asyncio.sleep(max(0, due - now()))
+            group.create_task(caller.call(randomness.choice(kinds)))
+
+
 async def run_open(
     caller: Caller,
     loops: Sequence[OpenLoop],
--- a/packages/testkit/src/jacinthcroft_testkit/internal/requests.py
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/requests.py
@@ -1,11 +1,14 @@
 """What callers ask for, and through which VMs."""
 
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 
 from attrs import define, field, frozen
 from jacinthcroft_config import Address
 
+# Keeps a VM of no weight as the last resort.
+_LEAST_WEIGHT = 1e-9
+
 
 @frozen
 class RequestKind:
@@ -47,7 +50,7 @@
     balancer would until the VM's readiness is seen again.
     """
 
-    _entrances: Sequence[Entrance]
+    _entrances: list[Entrance]
     _randomness: random.Random
     _weights: Mapping[str, float] = field(factory=dict)
     _retreat_seconds: float = 1
@@ -62,9 +65,18 @@
             and self._shunned_until.get(entrance.vm, 0) <= now
         ]
         candidates = choices or self._entrances
-        weights = [self._weights.get(choice.vm, 1) for choice in candidates]
+        weights = [
+            max(self._weights.get(candidate.vm, 1), _LEAST_WEIGHT)
+            for candidate in candidates
+        ]
         return self._randomness.choices(candidates, weights)[0]
 
+    def retire(self, vm: str) -> None:
+        """Sends nothing more to a VM that left the platform's list."""
+        self._entrances = [
+            entrance for entrance in self._entrances if entrance.vm != vm
+        ]
+
     def shun(self, vm: str, now: float) -> None:
         """Passes a VM over for a while."""
         self._shunned_until[vm] = now + self._retreat_seconds
