Survive callers that reset early, and tell unframed answers apart

Cause: a caller that resets before its accept has no address, which failed while connecting; an answer without length or chunks looks whole when its target dies in the middle. Change: no address is read as an empty one; Answer.is_framed tells it. Connections join their server when connected, so that draining never meets one without a transport.

--- a/packages/http/src/jacinthcroft_http/internal/answer.py
+++ b/packages/http/src/jacinthcroft_http/internal/answer.py
@@ -32,11 +32,14 @@
 class Answer:
     """An answer whose head has come; its body is read once.
 
-    Whoever gets an answer reads it to its end or calls `close`.
+    Whoever gets an answer reads it to its end or calls `close`. An answer
+    that is not framed ends with its connection, so that one whose target
+    died in the middle looks whole.
     """
 
     status: int
     headers: Headers
+    is_framed: bool
     _connection: ClientConnection
     _chunks: deque[bytes] = field(factory=deque, init=False)
     _is_ended: bool = field(default=False, init=False)
--- a/packages/http/src/jacinthcroft_http/internal/connection.py
+++ b/packages/http/src/jacinthcroft_http/internal/connection.py
@@ -8,7 +8,7 @@
 import enum
 import math
 from collections.abc import Callable, Coroutine
-from typing import Any, Final
+from typing import Any, Final, Protocol
 
 import h11
 from attrs import frozen
@@ -55,6 +55,16 @@
     CLOSING = 'closing'
 
 
+class Members(Protocol):
+    """The open connections of a server."""
+
+    def add(self, connection: 'ServerConnection') -> None:
+        """Takes in a connection that has opened."""
+
+    def discard(self, connection: 'ServerConnection') -> None:
+        """Forgets a connection that has closed."""
+
+
 class ServerConnection(Wire):
     """The connection of one caller."""
 
@@ -62,9 +72,9 @@
         self,
         limits: ServerLimits,
         serve: 'Callable[[ServerConnection], Coroutine[Any, Any, None]]',
-        on_closed: 'Callable[[ServerConnection], None]',
+        members: 'Members',
     ) -> None:
-        """Runs `serve` once connected, and `on_closed` at the end."""
+        """Runs `serve` and is one of the members while connected."""
         super().__init__(h11.SERVER, limits.max_head_bytes)
         self.phase = Phase.IDLE
         self.remote = ''
@@ -72,7 +82,7 @@
         self.on_gone: Callable[[], object] | None = None
         self._limits = limits
         self._serve = serve
-        self._on_closed = on_closed
+        self._members = members
         self._task: asyncio.Task[None] | None = None
         self._phase_deadline = math.inf
         self._write_deadline = math.inf
@@ -87,8 +97,10 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts serving."""
         super().connection_made(transport)
-        host, port, *_ = transport.get_extra_info('peername')
-        self.remote = f'{host}:{port}'
+        # A caller that has reset the connection already has no address.
+        peer = transport.get_extra_info('peername') or ('', 0)
+        self.remote = f'{peer[0]}:{peer[1]}'
+        self._members.add(self)
         self.await_head()
         loop = asyncio.get_running_loop()
         self._task = loop.create_task(self._serve(self))
@@ -111,7 +123,7 @@
         """Cancels the handler and tells the server."""
         super().connection_lost(exc)
         self._cancel()
-        self._on_closed(self)
+        self._members.discard(self)
 
     def pause_writing(self) -> None:
         """Gives a caller that reads too slowly limited time."""
--- a/packages/http/src/jacinthcroft_http/internal/exchange.py
+++ b/packages/http/src/jacinthcroft_http/internal/exchange.py
@@ -9,7 +9,10 @@
 from jacinthcroft_http.internal.client_connection import ClientConnection
 from jacinthcroft_http.internal.event_reader import Event
 from jacinthcroft_http.internal.headers import Headers
-from jacinthcroft_http.internal.messages import OutgoingRequest
+from jacinthcroft_http.internal.messages import (
+    BODILESS_STATUSES,
+    OutgoingRequest,
+)
 from jacinthcroft_http.internal.outcomes import Interrupted, NothingSent
 
 SendOutcome = Answer | NothingSent | Interrupted
@@ -74,7 +77,8 @@
         connection.close()
         return Interrupted('reset', 'closed without an answer')
     headers = Headers.from_wire(event.headers.raw_items())
-    answer = Answer(event.status_code, headers, connection)
+    is_framed = _is_framed(request, event.status_code, headers)
+    answer = Answer(event.status_code, headers, is_framed, connection)
     answer.take_what_came()
     return answer
 
@@ -101,6 +105,19 @@
     return h11.NEED_DATA
 
 
+def _is_framed(
+    request: OutgoingRequest,
+    status: int,
+    headers: Headers,
+) -> bool:
+    if request.method == 'HEAD' or status in BODILESS_STATUSES:
+        return True
+    return any(
+        name in {'content-length', 'transfer-encoding'}
+        for name, _ in headers.pairs
+    )
+
+
 def _is_informational(event: Event) -> bool:
     return isinstance(event, h11.InformationalResponse)
 
--- a/packages/http/src/jacinthcroft_http/internal/messages.py
+++ b/packages/http/src/jacinthcroft_http/internal/messages.py
@@ -3,13 +3,15 @@
 import asyncio
 import json
 from collections.abc import AsyncIterator, Iterable
-from typing import Any
+from typing import Any, Final
 
 from attrs import define, field, frozen
 
 from jacinthcroft_http.internal.headers import Headers, as_headers
 from jacinthcroft_http.internal.outcomes import BodyTooLarge
 
+BODILESS_STATUSES: Final = frozenset((204, 304))
+
 
 async def read_up_to(
     chunks: AsyncIterator[bytes],
--- a/packages/http/src/jacinthcroft_http/internal/response_writer.py
+++ b/packages/http/src/jacinthcroft_http/internal/response_writer.py
@@ -7,11 +7,10 @@
 import h11
 
 from jacinthcroft_http.internal.headers import Header
-from jacinthcroft_http.internal.messages import Response
+from jacinthcroft_http.internal.messages import BODILESS_STATUSES, Response
 from jacinthcroft_http.internal.outcomes import BodyCut
 from jacinthcroft_http.internal.wire import Wire
 
-_BODILESS_STATUSES: Final = frozenset((204, 304))
 _CLOSE: Final[Header] = (b'connection', b'close')
 _LENGTH_NAME: Final = b'content-length'
 
@@ -80,7 +79,7 @@
         )
 
     def _allows_body(self, response: Response) -> bool:
-        return not self._is_head and response.status not in _BODILESS_STATUSES
+        return not self._is_head and response.status not in BODILESS_STATUSES
 
 
 @contextlib.asynccontextmanager
--- a/packages/http/src/jacinthcroft_http/internal/server.py
+++ b/packages/http/src/jacinthcroft_http/internal/server.py
@@ -17,6 +17,9 @@
 
 BACKLOG: Final = 1024
 
+# Turns of the loop from a connection's arrival until it is connected.
+TURNS_TO_ACCEPT: Final = 4
+
 # A connection on which no request has come yet was opened for one that is
 # likely on its way when the draining begins.
 NEW_CONNECTION_GRACE_SECONDS: Final = 0.5
@@ -98,8 +101,8 @@
         """
         self.stop_keep_alive()
         # What the kernel already holds is taken in before the port closes.
-        await asyncio.sleep(0)
-        await asyncio.sleep(0)
+        for _ in range(TURNS_TO_ACCEPT):
+            await asyncio.sleep(0)
         if self._listener is not None:
             self._listener.close()
         self._connections.close_idle(served_at_least=1)
@@ -118,13 +121,11 @@
         self._connections.close_idle(served_at_least=0)
 
     def _connect(self) -> ServerConnection:
-        connection = ServerConnection(
+        return ServerConnection(
             self._service.limits,
             self._serve,
-            self._connections.discard,
+            self._connections,
         )
-        self._connections.add(connection)
-        return connection
 
     async def _serve(self, connection: ServerConnection) -> None:
         await Conversation(self._service, connection).run()
--- a/tests/cover/http/test_http_pool.py
+++ b/tests/cover/http/test_http_pool.py
@@ -127,6 +127,25 @@
         assert isinstance(await ask(bench.pool, port), Interrupted)
 
 
+@pytest.mark.parametrize(
+    ('text', 'is_framed'),
+    [(WHOLE, True), (b'HTTP/1.1 200 OK\r\n\r\nabc', False)],
+)
+@in_loop
+async def test_an_answer_tells_whether_its_end_is_marked(
+    text: bytes,
+    is_framed: bool,
+) -> None:
+    async with scripted(text) as (port, _), serving() as bench:
+        outcome = await bench.pool.send(
+            OutgoingRequest(HOST, port, 'GET', '/'),
+            1.0,
+        )
+        assert isinstance(outcome, Answer)
+        assert outcome.is_framed is is_framed
+        assert await outcome.read(LONG) == b'abc'
+
+
 @in_loop
 async def test_relaying_a_cut_answer_cuts_the_caller_too() -> None:
     async with scripted(CUT) as (port, _):
--- a/tests/cover/http/test_http_server.py
+++ b/tests/cover/http/test_http_server.py
@@ -1,6 +1,8 @@
 """What the server does with bytes from callers, good and bad."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import AsyncIterator
 
 import pytest
@@ -17,6 +19,7 @@
 )
 
 from tests.cover.http.http_peers import (
+    HOST,
     LONG,
     Bench,
     in_loop,
@@ -264,6 +267,24 @@
     assert len(reported) == 1
 
 
+@in_loop
+async def test_a_caller_that_resets_before_the_accept_harms_nobody() -> None:
+    reported: list[object] = []
+    asyncio.get_running_loop().set_exception_handler(
+        lambda _, context: reported.append(context),
+    )
+    async with serving() as bench:
+        for _ in range(20):
+            # Blocking calls: the loop cannot accept before the reset.
+            caller = socket.create_connection((HOST, bench.port))
+            no_linger = struct.pack('ii', 1, 0)
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
+            caller.close()
+        assert await _still_serves(bench)
+        await until(lambda: not bench.server.open_connections)
+    assert not reported
+
+
 @in_loop
 async def test_draining_answers_what_runs_and_cuts_nothing() -> None:
     gate = asyncio.Event()
