--- /dev/null
+++ b/packages/cli/src/jacinthcroft_cli/internal/files.py
@@ -0,0 +1,27 @@
+"""Reads service files from disk."""
+
+from collections.abc import Iterable
+from pathlib import Path
+
+from jacinthcroft_config import Fault, Faults, ServiceFile
+
+
+def read_service_files(
+    paths: Iterable[Path],
+) -> tuple[ServiceFile, ...] | Faults:
+    """Returns the texts of all files, or a fault for each unreadable one."""
+    outcomes = [_read_service_file(path) for path in paths]
+    faults = [found for found in outcomes if isinstance(found, Fault)]
+    if faults:
+        return Faults(tuple(faults))
+    return tuple(found for found in outcomes if isinstance(found, ServiceFile))
+
+
+def _read_service_file(path: Path) -> ServiceFile | Fault:
+    try:
+        return ServiceFile(str(path), path.read_text('utf-8'))
+    except OSError as error:
+        problem = f'cannot be read: {error.strerror}'
+    except UnicodeDecodeError:
+        problem = 'not UTF-8'
+    return Fault(str(path), '', problem, 'name a readable service file')
--- /dev/null
+++ b/packages/cli/src/jacinthcroft_cli/internal/text_tables.py
@@ -0,0 +1,22 @@
+"""Lays out rows of text in columns."""
+
+from collections.abc import Iterable, Sequence
+
+from jacinthcroft_config import printable
+
+Row = Sequence[object]
+
+_GAP = '  '
+
+
+def lay_out(heading: Row, rows: Iterable[Row]) -> str:
+    """Returns rows below a heading, each column as wide as its widest cell."""
+    cells = [[printable(str(cell)) for cell in row] for row in (heading, *rows)]
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    lines = (
+        _GAP.join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        )
+        for row in cells
+    )
+    return '\n'.join(line.rstrip() for line in lines)
--- a/packages/config/src/jacinthcroft_config/__init__.py
+++ b/packages/config/src/jacinthcroft_config/__init__.py
@@ -5,9 +5,21 @@
 which `RouteTable` and `TeamIndex` look things up for each request.
 """
 
+from jacinthcroft_config.internal.bundles import (
+    INDEX_NAME,
+    Bundle,
+    BundleIndex,
+    BundlePart,
+    ServiceFile,
+    digest_of,
+    load_bundle,
+    load_bundle_index,
+    load_configuration,
+    make_bundle,
+)
 from jacinthcroft_config.internal.checkers import Problem, parse_address
 from jacinthcroft_config.internal.documents import MAX_VALUE_BYTES
-from jacinthcroft_config.internal.faults import Fault, Faults
+from jacinthcroft_config.internal.faults import Fault, Faults, printable
 from jacinthcroft_config.internal.joining import NamedService, join_services
 from jacinthcroft_config.internal.key_hashes import hash_key
 from jacinthcroft_config.internal.models import (
@@ -50,10 +62,14 @@
 __all__ = (
     'Access',
     'Address',
+    'Bundle',
+    'BundleIndex',
+    'BundlePart',
     'Configuration',
     'Fault',
     'Faults',
     'FleetSettings',
+    'INDEX_NAME',
     'ListenSettings',
     'LogLevel',
     'LogSettings',
@@ -66,6 +82,7 @@
     'RouteMatch',
     'RouteTable',
     'Service',
+    'ServiceFile',
     'Settings',
     'Target',
     'TargetLimits',
@@ -81,10 +98,16 @@
     'VmState',
     'describe_service_file',
     'describe_settings',
+    'digest_of',
     'hash_key',
     'join_services',
+    'load_bundle',
+    'load_bundle_index',
+    'load_configuration',
     'load_service',
     'load_settings',
     'load_vm_list',
+    'make_bundle',
     'parse_address',
+    'printable',
 )
--- /dev/null
+++ b/packages/config/src/jacinthcroft_config/internal/bundles.py
@@ -0,0 +1,209 @@
+"""The published form of all service files: an index and its parts.
+
+The index names the SHA-256 of each service's part; a part is the service
+file's own text. A VM that holds the index therefore knows for each part
+whether it is the one that was meant.
+"""
+
+import hashlib
+import json
+from collections.abc import Mapping
+
+from attrs import frozen
+
+from jacinthcroft_config.internal.checkers import Checker, Name, Problem, shown
+from jacinthcroft_config.internal.documents import parse_json, report_size
+from jacinthcroft_config.internal.faults import FaultLog, Faults
+from jacinthcroft_config.internal.joining import join_services
+from jacinthcroft_config.internal.models import Configuration
+from jacinthcroft_config.internal.service_files import load_service
+from jacinthcroft_config.internal.tables import as_table, join_key
+
+INDEX_NAME = 'bundle'
+
+_DIGEST_LENGTH = 64
+_DIGITS = frozenset('0123456789abcdef')
+
+
+@frozen
+class ServiceFile:
+    """The text of one service file, and its name in faults."""
+
+    name: str
+    text: str
+
+
+@frozen
+class BundlePart:
+    """One service's entry in the index."""
+
+    service: str
+    digest: str
+
+    @property
+    def value_name(self) -> str:
+        """Name under which the platform publishes the part."""
+        return f'part-{self.digest}'
+
+
+@frozen
+class BundleIndex:
+    """The parts of a bundle, sorted by service."""
+
+    parts: tuple[BundlePart, ...]
+
+    def to_json(self) -> str:
+        """Returns the published text of the index."""
+        services = {part.service: part.digest for part in self.parts}
+        return json.dumps({'services': services}, indent=2)
+
+
+@frozen
+class Bundle:
+    """An index and the texts of its parts by their digests."""
+
+    index: BundleIndex
+    texts: Mapping[str, str]
+
+
+def load_configuration(
+    revision: int,
+    files: tuple[ServiceFile, ...],
+) -> Configuration | Faults:
+    """Loads and joins service files, or tells every fault in all of them."""
+    loaded = [(file.name, load_service(file.text, file.name)) for file in files]
+    faults = [
+        fault
+        for _, outcome in loaded
+        if isinstance(outcome, Faults)
+        for fault in outcome.faults
+    ]
+    joined = join_services(
+        revision,
+        [
+            (name, service)
+            for name, service in loaded
+            if not isinstance(service, Faults)
+        ],
+    )
+    if isinstance(joined, Faults):
+        faults.extend(joined.faults)
+    elif not faults:
+        return joined
+    return Faults(tuple(faults))
+
+
+def make_bundle(files: tuple[ServiceFile, ...]) -> Bundle | Faults:
+    """Returns the bundle of all files, or every fault in them."""
+    configuration = load_configuration(0, files)
+    if isinstance(configuration, Faults):
+        return configuration
+    texts = {digest_of(file.text): file.text for file in files}
+    names = [service.name for service in configuration.services]
+    index = BundleIndex(
+        tuple(
+            BundlePart(name, digest)
+            for name, digest in sorted(zip(names, texts, strict=True))
+        ),
+    )
+    log = FaultLog(INDEX_NAME)
+    report_size(log, index.to_json())
+    return Bundle(index, texts) if log.is_clean else log.faults
+
+
+def load_bundle_index(text: str, source: str) -> BundleIndex | Faults:
+    """Reads a published index, or tells every fault in it."""
+    log = FaultLog(source)
+    document = parse_json(log, text)
+    if not log.is_clean:
+        return log.faults
+    top = as_table(log, '', document)
+    services = as_table(log, 'services', top.get('services'))
+    parts = [
+        _read_part(log, service, digest)
+        for service, digest in sorted(services.items())
+    ]
+    return BundleIndex(tuple(parts)) if log.is_clean else log.faults
+
+
+def load_bundle(
+    revision: int,
+    index: BundleIndex,
+    texts: Mapping[str, str],
+) -> Configuration | Faults:
+    """Loads the configuration of an index from its parts by digest.
+
+    A part that is missing, is another text than the index means or holds
+    another service is a fault: a VM must not serve half of a revision.
+    """
+    log = FaultLog(INDEX_NAME)
+    for part in index.parts:
+        text = texts.get(part.digest)
+        if text is None or digest_of(text) != part.digest:
+            log.report(
+                join_key('services', part.service),
+                'its part is missing or another text',
+                'publish all parts of the bundle again',
+            )
+    if not log.is_clean:
+        return log.faults
+    configuration = load_configuration(
+        revision,
+        tuple(
+            ServiceFile(entry.value_name, texts[entry.digest])
+            for entry in index.parts
+        ),
+    )
+    if isinstance(configuration, Faults):
+        return configuration
+    _check_services(log, index, configuration)
+    return configuration if log.is_clean else log.faults
+
+
+def _check_services(
+    log: FaultLog,
+    index: BundleIndex,
+    configuration: Configuration,
+) -> None:
+    for part, service in zip(index.parts, configuration.services, strict=True):
+        if part.service != service.name:
+            log.report(
+                join_key('services', part.service),
+                f'its part is of the service {service.name!r}',
+                'publish what `jacinthcroft bundle` wrote',
+            )
+
+
+def digest_of(text: str) -> str:
+    """Returns the lower-case hexadecimal SHA-256 of a part's text."""
+    return hashlib.sha256(text.encode('utf-8', 'surrogatepass')).hexdigest()
+
+
+@frozen
+class _Digest(Checker):
+    """A SHA-256 in hexadecimal digits."""
+
+    @property
+    def wanted(self) -> str:
+        """What may be written."""
+        return f'{_DIGEST_LENGTH} lower-case hexadecimal digits'
+
+    def check(self, raw: object) -> object:
+        """Returns the digits, or a `Problem`."""
+        if not isinstance(raw, str) or len(raw) != _DIGEST_LENGTH:
+            return Problem(f'{shown(raw)} is not accepted')
+        if not _DIGITS.issuperset(raw):
+            return Problem(f'{shown(raw)} is not accepted')
+        return raw
+
+
+def _read_part(log: FaultLog, service: str, digest: object) -> BundlePart:
+    for checker, raw in ((Name(), service), (_Digest(), digest)):
+        checked = checker.check(raw)
+        if isinstance(checked, Problem):
+            log.report(
+                join_key('services', service),
+                checked.text,
+                f'publish {checker.wanted}',
+            )
+    return BundlePart(service, str(digest))
--- a/packages/config/src/jacinthcroft_config/internal/checkers.py
+++ b/packages/config/src/jacinthcroft_config/internal/checkers.py
@@ -8,6 +8,7 @@
 import enum
 import ipaddress
 import re
+import reprlib
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
@@ -17,7 +18,6 @@
 
 MAX_PORT = 65_535
 
-_SHOWN_CHARACTERS = 40
 _NAME = re.compile('[a-z0-9](?:[a-z0-9._-]{0,62})')
 _KEY_HASH = re.compile('sha256:([0-9a-fA-F]{64})')
 _PATH = re.compile(r'/|(?:/(?:\{[a-z0-9_]+\}|[A-Za-z0-9_~-][A-Za-z0-9._~-]*))+')
@@ -33,10 +33,11 @@
 
 def shown(raw: object) -> str:
     """Returns a raw value as it may stand in a fault, shortened."""
-    text = repr(raw)
-    if len(text) > _SHOWN_CHARACTERS:
-        return f'{text[:_SHOWN_CHARACTERS]}...'
-    return text
+    try:
+        return reprlib.repr(raw)
+    except ValueError:
+        # Python refuses to write out a number of thousands of digits.
+        return 'a number this long'
 
 
 def _refused(raw: object) -> Problem:
@@ -77,10 +78,7 @@
     @property
     def wanted(self) -> str:
         """What may be written."""
-        return (
-            'a name of at most 63 lower-case letters, digits, dots, '
-            'hyphens and underscores in quotes'
-        )
+        return 'a name of lower-case letters, digits and . _ - (at most 63)'
 
     def check(self, raw: object) -> object:
         """Returns the name, or a `Problem`."""
@@ -118,7 +116,7 @@
     @property
     def wanted(self) -> str:
         """What may be written."""
-        return 'a number from {:g} to {:g}'.format(*self.bounds)
+        return 'a number from {:.15g} to {:.15g}'.format(*self.bounds)
 
     def check(self, raw: object) -> object:
         """Returns the number as a float, or a `Problem`."""
@@ -235,8 +233,9 @@
 
     def check(self, raw: object) -> object:
         """Returns a tuple, or the `Problem` of the first bad element."""
+        # The raw value is not shown: it may be a key put there by mistake.
         if not isinstance(raw, list):
-            return _refused(raw)
+            return Problem('this is not a list')
         if len(raw) < self.minimum:
             return Problem('the list is too short')
         checked = tuple(self.element.check(element) for element in raw)
--- a/packages/config/src/jacinthcroft_config/internal/faults.py
+++ b/packages/config/src/jacinthcroft_config/internal/faults.py
@@ -7,6 +7,11 @@
 from dataclasses import dataclass
 
 
+def printable(text: str) -> str:
+    """Returns a text on one line, without control characters."""
+    return ''.join(char if char.isprintable() else '?' for char in text)
+
+
 @dataclass(frozen=True)
 class Fault:
     """One thing wrong in one file; `key` is empty for the file as a whole."""
@@ -18,7 +23,8 @@
 
     def __str__(self) -> str:
         """Returns `file:key: what is wrong, what to write instead`."""
-        return f'{self.file}:{self.key}: {self.problem}, {self.remedy}'
+        place = f'{self.file}:{self.key}' if self.key else self.file
+        return printable(f'{place}: {self.problem}, {self.remedy}')
 
 
 @dataclass(frozen=True)
--- a/packages/config/src/jacinthcroft_config/internal/settings.py
+++ b/packages/config/src/jacinthcroft_config/internal/settings.py
@@ -35,10 +35,6 @@
     WARNING = 'warning'
     ERROR = 'error'
 
-    def __str__(self) -> str:
-        """Returns the level as it is written in the file."""
-        return self.value
-
 
 @frozen
 class VmSettings:
@@ -211,6 +207,7 @@
         name: reader.read(name, document.get(name, {}), keys_of(section))
         for name, section in _SECTIONS
     }
+    _check_ports(log, checked['listen'])
     if not log.is_clean:
         return log.faults
     sections: dict[str, Any] = {
@@ -219,6 +216,18 @@
     return Settings(**sections)
 
 
+def _check_ports(log: FaultLog, listen: dict[str, Any]) -> None:
+    owners: dict[Address, str] = {}
+    for name, address in listen.items():
+        owner = owners.setdefault(address, name)
+        if owner != name:
+            log.report(
+                f'listen.{name}',
+                f'{address} is also that of {owner}',
+                'write another port',
+            )
+
+
 def describe_settings() -> str:
     """Returns every section and key of the settings as Markdown."""
     parts = ['# Settings of jacinthcroftd']
--- a/packages/config/src/jacinthcroft_config/internal/tables.py
+++ b/packages/config/src/jacinthcroft_config/internal/tables.py
@@ -137,8 +137,16 @@
 
 
 def _describe_key(key: Key) -> str:
-    default = 'must be written' if key.is_required else f'`{key.default}`'
+    default = 'must be written' if key.is_required else _show(key.default)
     return (
         f'| `{key.name}` | {key.checker.wanted} | {default} '
         f'| {key.description} |'
     )
+
+
+def _show(default: object) -> str:
+    if default is None:
+        return 'none'
+    if isinstance(default, enum.Enum):
+        return f'`{default.value}`'
+    return f'`{list(default) if isinstance(default, tuple) else default}`'
