--- a/packages/config/src/jacinthcroft_config/internal/checkers.py
+++ b/packages/config/src/jacinthcroft_config/internal/checkers.py
@@ -33,6 +33,8 @@
 
 def shown(raw: object) -> str:
     """Returns a raw value as it may stand in a fault, shortened."""
+    if isinstance(raw, bool):
+        return str(raw).lower()
     try:
         return reprlib.repr(raw)
     except ValueError:
@@ -229,7 +231,7 @@
     @property
     def wanted(self) -> str:
         """What may be written."""
-        return f'a list; each element is {self.element.wanted}'
+        return f'a list, each element {self.element.wanted}'
 
     def check(self, raw: object) -> object:
         """Returns a tuple, or the `Problem` of the first bad element."""
--- a/packages/config/src/jacinthcroft_config/internal/service_files.py
+++ b/packages/config/src/jacinthcroft_config/internal/service_files.py
@@ -38,14 +38,22 @@
 _SERVICE = Key('service', Name(), 'Name of the service.')
 _TOP_LEVEL = ['service', 'limits', 'routes', 'teams', 'targets']
 
+_REMEDIES_WHEN_EMPTY = (
+    ('routes', 'write at least one [[routes]]'),
+    ('targets', 'write at least one [targets.NAME]'),
+)
+
 
 def load_service(text: str, file_name: str) -> Service | Faults:
     """Reads a service file, or tells every fault in it."""
     log = FaultLog(file_name)
     report_size(log, text)
     document = parse_toml(log, text)
-    if not log.is_clean:
-        return log.faults
+    return read_service(log, document) if log.is_clean else log.faults
+
+
+def read_service(log: FaultLog, document: dict[str, Any]) -> Service | Faults:
+    """Reads the parsed tables of a service file."""
     tables = _ServiceTables.from_document(log, document)
     # The rules look only at values that passed their own check, so they
     # add to the faults found so far instead of repeating them.
@@ -74,6 +82,7 @@
         top = reader.read('', document, (_SERVICE,))
         strict = TableReader(log)
         strict.report_unknown('', document, _TOP_LEVEL)
+        _report_empty(log, document)
         return cls(
             name=top.get('service', ''),
             limits=strict.read(
@@ -100,6 +109,12 @@
         )
 
 
+def _report_empty(log: FaultLog, document: Mapping[str, object]) -> None:
+    for section, remedy in _REMEDIES_WHEN_EMPTY:
+        if document.get(section) in (None, [], {}):
+            log.report(section, 'nothing is written there', remedy)
+
+
 def _read_routes(
     reader: TableReader,
     raw: object,
@@ -112,24 +127,24 @@
             'write each route below [[routes]]',
         )
         return {}
-    places = [_route_place(number, route) for number, route in enumerate(raw)]
-    twice = {place for place in places if places.count(place) > 1}
-    for repeated in sorted(twice):
-        reader.log.report(
-            repeated,
-            'two routes have this name',
-            'give each route its own name',
-        )
-    return {
-        place: reader.read(place, route, ROUTE_KEYS)
-        for place, route in zip(places, raw, strict=True)
-    }
+    routes: dict[str, dict[str, Any]] = {}
+    for number, route in enumerate(raw, start=1):
+        place = _route_place(number, route)
+        if place in routes:
+            place = f'routes[#{number}]'
+            reader.log.report(
+                f'{place}.name',
+                'an earlier route has this name',
+                'give each route its own name',
+            )
+        routes[place] = reader.read(place, route, ROUTE_KEYS)
+    return routes
 
 
 def _route_place(number: int, route: object) -> str:
     name = route.get('name') if isinstance(route, dict) else None
     if isinstance(Name().check(name), Problem):
-        return f'routes[#{number + 1}]'
+        return f'routes[#{number}]'
     return f'routes[{name}]'
 
 
--- a/packages/config/src/jacinthcroft_config/internal/service_rules.py
+++ b/packages/config/src/jacinthcroft_config/internal/service_rules.py
@@ -14,6 +14,7 @@
     RouteClaims,
     path_segments,
 )
+from jacinthcroft_config.internal.tables import suggest
 
 Tables = Mapping[str, Mapping[str, Any]]
 
@@ -27,7 +28,6 @@
 ) -> None:
     """Reports every broken rule of one service file."""
     _check_cold_slots(log, limits)
-    _check_presence(log, routes, targets)
     for place, route in routes.items():
         _check_access(log, place, route, teams)
     _check_claims(log, routes)
@@ -47,17 +47,6 @@
     )
 
 
-def _check_presence(log: FaultLog, routes: Tables, targets: Tables) -> None:
-    if log.is_clean and not routes:
-        log.report('routes', 'no route', 'write at least one [[routes]]')
-    if log.is_clean and not targets:
-        log.report(
-            'targets',
-            'no target',
-            'write at least one [targets.NAME]',
-        )
-
-
 def _check_access(
     log: FaultLog,
     place: str,
@@ -86,7 +75,7 @@
             log.report(
                 key,
                 f'unknown team {team!r}',
-                f'write [teams.{team}] or take it away',
+                f'{suggest(team, teams)}, or add [teams.{team}]',
             )
 
 
--- a/packages/config/src/jacinthcroft_config/internal/tables.py
+++ b/packages/config/src/jacinthcroft_config/internal/tables.py
@@ -57,6 +57,13 @@
     return f'{prefix}.{name}' if prefix else name
 
 
+def suggest(name: str, known: Iterable[str]) -> str:
+    """Returns the remedy for an unknown name: the nearest known, or all."""
+    names = sorted(known)
+    near = difflib.get_close_matches(name, names, n=1)
+    return f'write {near[0]}' if near else f'known are {", ".join(names)}'
+
+
 def as_table(log: FaultLog, place: str, raw: object) -> Mapping[str, object]:
     """Returns a raw value as a table; reports and empties anything else."""
     if isinstance(raw, dict):
@@ -105,10 +112,8 @@
         for name in written:
             if name in known:
                 continue
-            near = difflib.get_close_matches(name, known, n=1)
-            names = ', '.join(sorted(known))
-            remedy = f'write {near[0]}' if near else f'known are {names}'
-            self.log.report(join_key(place, name), 'unknown key', remedy)
+            full_name = join_key(place, name)
+            self.log.report(full_name, 'unknown key', suggest(name, known))
 
     def _read_key(
         self,
