--- a/packages/cli/src/jacinthcroft_cli/internal/vm_arguments.py
+++ b/packages/cli/src/jacinthcroft_cli/internal/vm_arguments.py
@@ -5,6 +5,7 @@
 from jacinthcroft_config import Address, Problem, parse_address
 
 TIMEOUT_SECONDS = 3.0
+MAX_TIMEOUT_SECONDS = 600.0
 
 
 def add_vm_arguments(parser: argparse.ArgumentParser) -> None:
@@ -19,7 +20,7 @@
     parser.add_argument(
         '--timeout',
         metavar='SECONDS',
-        type=float,
+        type=read_timeout,
         default=TIMEOUT_SECONDS,
         help='longest wait for a VM (default: %(default)s)',
     )
@@ -35,3 +36,19 @@
     if isinstance(address, Problem):
         raise argparse.ArgumentTypeError(address.text)
     return address
+
+
+def read_timeout(text: str) -> float:
+    """Returns the seconds of an argument.
+
+    Raises:
+        ArgumentTypeError: The text is no number above 0 and in bounds.
+    """
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = 0
+    # A NaN fails this comparison as well.
+    if 0 < seconds <= MAX_TIMEOUT_SECONDS:
+        return seconds
+    raise argparse.ArgumentTypeError(f'{text!r} is no time to wait')
