--- a/packages/config/src/jacinthcroft_config/internal/settings.py
+++ b/packages/config/src/jacinthcroft_config/internal/settings.py
@@ -10,10 +10,8 @@
 from attrs import field, frozen
 
 from jacinthcroft_config.internal.checkers import (
-    AddressPairText,
     AddressText,
     Choice,
-    ListOf,
     Name,
     Number,
     Text,
@@ -21,7 +19,7 @@
 )
 from jacinthcroft_config.internal.documents import parse_toml
 from jacinthcroft_config.internal.faults import FaultLog, Faults
-from jacinthcroft_config.internal.models import Address, AddressPair
+from jacinthcroft_config.internal.models import Address
 from jacinthcroft_config.internal.tables import (
     TableReader,
     describe_table,
@@ -37,10 +35,6 @@
     WARNING = 'warning'
     ERROR = 'error'
 
-    def __str__(self) -> str:
-        """Returns the level as it is written in the file."""
-        return self.value
-
 
 @frozen
 class VmSettings:
@@ -101,18 +95,6 @@
     ]
 
 
-@frozen
-class NetworkSettings:
-    """How this VM reaches addresses that others publish."""
-
-    address_map: Annotated[
-        tuple[AddressPair, ...],
-        ListOf(AddressPairText()),
-        'Published addresses of VMs and targets that this VM reaches at '
-        'another address.',
-    ] = ()
-
-
 @frozen
 class LogSettings:
     """What is written to the log."""
@@ -205,7 +187,6 @@
     listen: ListenSettings
     platform: PlatformSettings
     fleet: FleetSettings
-    network: NetworkSettings = field(factory=NetworkSettings)
     log: LogSettings = field(factory=LogSettings)
     tunables: Tunables = field(factory=Tunables)
 
@@ -215,7 +196,6 @@
     ('listen', ListenSettings),
     ('platform', PlatformSettings),
     ('fleet', FleetSettings),
-    ('network', NetworkSettings),
     ('log', LogSettings),
     ('tunables', Tunables),
 )
@@ -233,6 +213,7 @@
         name: reader.read(name, document.get(name, {}), keys_of(section))
         for name, section in _SECTIONS
     }
+    _check_ports(log, checked['listen'])
     if not log.is_clean:
         return log.faults
     sections: dict[str, Any] = {
@@ -241,6 +222,18 @@
     return Settings(**sections)
 
 
+def _check_ports(log: FaultLog, listen: dict[str, Any]) -> None:
+    owners: dict[Address, str] = {}
+    for name, address in listen.items():
+        owner = owners.setdefault(address, name)
+        if owner != name:
+            log.report(
+                f'listen.{name}',
+                f'{address} is also that of {owner}',
+                'write another port',
+            )
+
+
 def describe_settings() -> str:
     """Returns every section and key of the settings as Markdown."""
     parts = ['# Settings of jacinthcroftd']
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/held_cells.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/held_cells.py
@@ -132,12 +132,16 @@
             return ReportBatchReply(None)
         moment = now()
         renewals: list[PermitRenewal] = []
+        recalled: list[str] = []
         for report in batch.reports:
             renewal = held.cell.report(report, moment)
             if renewal is not None:
                 renewals.append(renewal)
+            elif not report.is_returned:
+                recalled.append(report.permit_id)
         self._pump(batch.cell, held)
-        return ReportBatchReply(ReportReply(tuple(renewals), ()))
+        reply = ReportReply(tuple(renewals), tuple(recalled))
+        return ReportBatchReply(reply)
 
     async def run(self) -> None:
         """Lets time pass in all held cells, for ever."""
