Refuse the hash of an empty key and a VM list without VMs

Cause: an empty key's hash in a file would let in callers that send none; an empty VM list can only be a mistake. Change: both are faults; loading a whole configuration has its own module.

--- a/packages/config/src/jacinthcroft_config/__init__.py
+++ b/packages/config/src/jacinthcroft_config/__init__.py
@@ -10,14 +10,16 @@
     Bundle,
     BundleIndex,
     BundlePart,
-    ServiceFile,
     digest_of,
     load_bundle,
     load_bundle_index,
-    load_configuration,
     make_bundle,
 )
 from jacinthcroft_config.internal.checkers import Problem, parse_address
+from jacinthcroft_config.internal.configurations import (
+    ServiceFile,
+    load_configuration,
+)
 from jacinthcroft_config.internal.documents import MAX_VALUE_BYTES
 from jacinthcroft_config.internal.faults import Fault, Faults, printable
 from jacinthcroft_config.internal.joining import NamedService, join_services
--- a/packages/config/src/jacinthcroft_config/internal/bundles.py
+++ b/packages/config/src/jacinthcroft_config/internal/bundles.py
@@ -12,11 +12,13 @@
 from attrs import frozen
 
 from jacinthcroft_config.internal.checkers import Checker, Name, Problem, shown
+from jacinthcroft_config.internal.configurations import (
+    ServiceFile,
+    load_configuration,
+)
 from jacinthcroft_config.internal.documents import parse_json, report_size
 from jacinthcroft_config.internal.faults import FaultLog, Faults
-from jacinthcroft_config.internal.joining import join_services
 from jacinthcroft_config.internal.models import Configuration
-from jacinthcroft_config.internal.service_files import load_service
 from jacinthcroft_config.internal.tables import as_table, join_key
 
 INDEX_NAME = 'bundle'
@@ -25,14 +27,6 @@
 _DIGITS = frozenset('0123456789abcdef')
 
 
-@frozen
-class ServiceFile:
-    """The text of one service file, and its name in faults."""
-
-    name: str
-    text: str
-
-
 @frozen
 class BundlePart:
     """One service's entry in the index."""
@@ -66,33 +60,6 @@
     texts: Mapping[str, str]
 
 
-def load_configuration(
-    revision: int,
-    files: tuple[ServiceFile, ...],
-) -> Configuration | Faults:
-    """Loads and joins service files, or tells every fault in all of them."""
-    loaded = [(file.name, load_service(file.text, file.name)) for file in files]
-    faults = [
-        fault
-        for _, outcome in loaded
-        if isinstance(outcome, Faults)
-        for fault in outcome.faults
-    ]
-    joined = join_services(
-        revision,
-        [
-            (name, service)
-            for name, service in loaded
-            if not isinstance(service, Faults)
-        ],
-    )
-    if isinstance(joined, Faults):
-        faults.extend(joined.faults)
-    elif not faults:
-        return joined
-    return Faults(tuple(faults))
-
-
 def make_bundle(files: tuple[ServiceFile, ...]) -> Bundle | Faults:
     """Returns the bundle of all files, or every fault in them."""
     configuration = load_configuration(0, files)
--- a/packages/config/src/jacinthcroft_config/internal/checkers.py
+++ b/packages/config/src/jacinthcroft_config/internal/checkers.py
@@ -14,6 +14,7 @@
 
 from attrs import field, frozen
 
+from jacinthcroft_config.internal.key_hashes import hash_key
 from jacinthcroft_config.internal.models import Address
 
 MAX_PORT = 65_535
@@ -200,7 +201,11 @@
         # The raw text is not shown: it may be a key put there by mistake.
         if matched is None:
             return Problem('this is not the hash of a key')
-        return matched.group(1).lower()
+        digits = matched.group(1).lower()
+        # An empty key would let in every caller that sends none.
+        if digits == hash_key(''):
+            return Problem('this is the hash of an empty key')
+        return digits
 
 
 @frozen
--- a/packages/config/src/jacinthcroft_config/internal/vm_lists.py
+++ b/packages/config/src/jacinthcroft_config/internal/vm_lists.py
@@ -56,8 +56,9 @@
 
 def _read_vms(reader: TableReader, document: object) -> list[dict[str, Any]]:
     raw = document.get('vms') if isinstance(document, dict) else None
-    if not isinstance(raw, list):
-        reader.log.report('vms', 'not a list', 'publish the list of VMs')
+    # A fleet without VMs has nobody to read this.
+    if not isinstance(raw, list) or not raw:
+        reader.log.report('vms', 'no list of VMs', 'publish every VM')
         return []
     vms = [
         reader.read(f'vms[#{number}]', vm, _VM_KEYS)
--- a/tests/cover/config/test_service_files.py
+++ b/tests/cover/config/test_service_files.py
@@ -9,6 +9,7 @@
     Faults,
     Service,
     TargetState,
+    hash_key,
     load_service,
 )
 from syrupy.assertion import SnapshotAssertion
@@ -165,6 +166,12 @@
     assert 'my-secret' not in faults_of(text)
 
 
+def test_the_hash_of_an_empty_key_lets_nobody_in() -> None:
+    text = f'[teams.app]\nkeys = ["sha256:{hash_key("")}"]'
+
+    assert 'teams.app.keys: this is the hash of an empty key' in faults_of(text)
+
+
 def test_a_service_needs_a_route_and_a_target() -> None:
     told = faults_of('service = "empty"\nroutes = []\n')
 
--- a/tests/cover/config/test_vm_lists.py
+++ b/tests/cover/config/test_vm_lists.py
@@ -51,3 +51,4 @@
 
 def test_a_list_without_vms_is_a_fault() -> None:
     assert isinstance(load(zones_out=[]), Faults)
+    assert isinstance(load(vms=[]), Faults)
