--- a/packages/config/src/jacinthcroft_config/internal/settings.py
+++ b/packages/config/src/jacinthcroft_config/internal/settings.py
@@ -120,6 +120,12 @@
         Whole((20, 1_000)),
         'Time between two steps of leases, tokens and permits.',
     ] = 150
+    drain_notice_ms: Annotated[
+        int,
+        Whole((0, 60_000)),
+        'How long a stopping VM goes on serving new arrivals while the '
+        'balancer notices that it is not ready.',
+    ] = 1000
     drain_seconds: Annotated[
         float,
         Number((0, 600)),
@@ -135,7 +141,7 @@
         int,
         Whole((1, 300)),
         'How long one watch of the platform waits for a new revision.',
-    ] = 20
+    ] = 2
     platform_watchers: Annotated[
         int,
         Whole((1, 64)),
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/activation.py
@@ -0,0 +1,163 @@
+"""How a holder candidate puts a list revision in force for one shard.
+
+It fences the witnesses of earlier lists, merges what they knew, waits until
+the leases they had voted for have run out, and installs the new witnesses.
+Every step may be repeated, by this candidate or by another one at the same
+time: a fence at the same revision changes nothing, and an installed witness
+ignores a second installation.
+"""
+
+from attrs import define, field
+
+from jacinthcroft_decisions.internal.coordination.fence_round import FenceRound
+from jacinthcroft_decisions.internal.coordination.history import (
+    PlacementHistory,
+)
+from jacinthcroft_decisions.internal.coordination.history_messages import (
+    Outgoing,
+)
+from jacinthcroft_decisions.internal.coordination.messages import (
+    FenceReply,
+    InstallReply,
+    InstallRequest,
+    Outcome,
+)
+from jacinthcroft_decisions.internal.coordination.placement import Placement
+from jacinthcroft_decisions.internal.coordination.records import merge_records
+from jacinthcroft_decisions.internal.coordination.survey import (
+    FencesNeeded,
+    ListsNeeded,
+    NoneInstalled,
+    PredecessorFound,
+    survey,
+)
+from jacinthcroft_decisions.internal.coordination.terms import (
+    CoordinationTerms,
+)
+
+_NEVER = float('-inf')
+
+
+@define
+class Activation:
+    """One candidate's drive to put one revision in force for one shard."""
+
+    shard: int
+    placement: Placement
+    vm: str
+    incarnation: str
+    terms: CoordinationTerms
+    needs_history: bool = field(default=False, init=False)
+    _rounds: dict[int, FenceRound] = field(factory=dict, init=False)
+    _lease_until: dict[str, float] = field(factory=dict, init=False)
+    _installed: set[str] = field(factory=set, init=False)
+    _repeated_at: float = field(default=_NEVER, init=False)
+
+    @property
+    def is_finished(self) -> bool:
+        """Whether every witness of the revision is installed."""
+        return self._installed.issuperset(self._witnesses)
+
+    @property
+    def _witnesses(self) -> tuple[str, ...]:
+        return self.placement.witnesses(self.shard)
+
+    def requests(
+        self,
+        history: PlacementHistory,
+        is_history_complete: bool,
+        now: float,
+    ) -> tuple[Outgoing, ...]:
+        """Returns the next step's requests, as far as they are due."""
+        fenced = {
+            revision: known.views
+            for revision, known in self._rounds.items()
+            if known.is_complete
+        }
+        result = survey(self.shard, self.placement.revision, history, fenced)
+        self.needs_history = isinstance(result, NoneInstalled)
+        if isinstance(result, FencesNeeded):
+            return self._fences(result.placement, now)
+        if isinstance(result, ListsNeeded):
+            history.hear(result.revisions)
+            return ()
+        if self.needs_history and not is_history_complete:
+            return ()
+        return self._last_steps(result, now)
+
+    def receive_fence(
+        self,
+        sender: str,
+        reply: FenceReply,
+        sent_at: float,
+        now: float,
+    ) -> None:
+        """Takes what a fenced witness knew."""
+        fence_round = self._rounds.get(reply.earlier)
+        if fence_round is None or reply.view is None:
+            return
+        fence_round.receive(sender, reply, sent_at, now)
+        lease = reply.view.lease
+        own = (self.vm, self.incarnation)
+        if lease is None or (lease.holder, lease.incarnation) == own:
+            self._lease_until[sender] = _NEVER
+            return
+        wait = lease.remaining * (1 + self.terms.drift_margin)
+        self._lease_until[sender] = now + wait
+
+    def receive_install(self, sender: str, reply: InstallReply) -> None:
+        """Counts an installed witness."""
+        if reply.outcome is Outcome.DONE:
+            self._installed.add(sender)
+
+    def _fences(self, earlier: Placement, now: float) -> tuple[Outgoing, ...]:
+        fence_round = self._rounds.get(earlier.revision)
+        if fence_round is None:
+            fence_round = FenceRound(
+                self.shard,
+                self.placement.revision,
+                earlier,
+                self.terms,
+            )
+            self._rounds[earlier.revision] = fence_round
+        return fence_round.requests(now)
+
+    def _last_steps(
+        self,
+        found: NoneInstalled | PredecessorFound,
+        now: float,
+    ) -> tuple[Outgoing, ...]:
+        """Waits for the leases' end, then installs."""
+        if now - self._repeated_at < self.terms.renew_interval:
+            return ()
+        self._repeated_at = now
+        blocking = tuple(
+            vm for vm, until in self._lease_until.items() if now < until
+        )
+        if blocking:
+            newest = self._rounds[max(self._rounds)]
+            return newest.repeat(blocking)
+        return self._installs(found)
+
+    def _installs(
+        self,
+        found: NoneInstalled | PredecessorFound,
+    ) -> tuple[Outgoing, ...]:
+        message = InstallRequest(
+            shard=self.shard,
+            revision=self.placement.revision,
+            driver=self.vm,
+            incarnation=self.incarnation,
+            vouch_from=found.vouch_from,
+            is_cold=isinstance(found, NoneInstalled),
+            records=merge_records(
+                view.records
+                for known in self._rounds.values()
+                for view in known.views
+            ),
+        )
+        return tuple(
+            Outgoing(vm, message)
+            for vm in self._witnesses
+            if vm not in self._installed
+        )
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness.py
@@ -0,0 +1,171 @@
+"""A VM's part as a witness of the shards that lists have given it.
+
+A witness votes for claims and leases, and answers for one list revision of a
+shard at a time. It refuses what is fenced, grants what is free and tells
+what it knows. After a restart it first reads back what it may have lost.
+"""
+
+from attrs import define, field
+
+from jacinthcroft_decisions.internal.coordination import claim_votes
+from jacinthcroft_decisions.internal.coordination.history_messages import (
+    CoordinationReply,
+    CoordinationRequest,
+    Outgoing,
+)
+from jacinthcroft_decisions.internal.coordination.messages import ReadBackReply
+from jacinthcroft_decisions.internal.coordination.placement import Placement
+from jacinthcroft_decisions.internal.coordination.recovery import ReadBack
+from jacinthcroft_decisions.internal.coordination.terms import (
+    CoordinationTerms,
+)
+from jacinthcroft_decisions.internal.coordination.witness_handlers import (
+    handle,
+)
+from jacinthcroft_decisions.internal.coordination.witness_state import (
+    WitnessState,
+)
+
+_EVICTION_INTERVAL_SECONDS = 5.0
+_LISTS_READ_BACK = 4
+
+
+@define
+class Witness:
+    """One incarnation of a VM as a witness.
+
+    `started_at` is on the boot clock, `started_wall` in unix seconds.
+    """
+
+    vm: str
+    incarnation: str
+    started_at: float
+    started_wall: float
+    terms: CoordinationTerms
+    _state: WitnessState = field(init=False)
+    _evicted_at: float = field(default=0, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Starts without memory."""
+        self._state = WitnessState(
+            self.vm,
+            self.incarnation,
+            self.started_at,
+            self.started_wall,
+            self.terms,
+        )
+
+    @property
+    def record_count(self) -> int:
+        """How many claim records are kept over all shards."""
+        return sum(
+            len(memory.records) for memory in self._state.shards.values()
+        )
+
+    @property
+    def is_recovered(self) -> bool:
+        """Whether nothing that the list asks of this VM is left to read."""
+        return self._state.placement is not None and all(
+            revision != self._state.adopted
+            for _, revision in self._state.read_backs
+        )
+
+    def adopt(self, placement: Placement, now: float) -> None:
+        """Takes a newer list; an older or equal one changes nothing.
+
+        The first one should be the newest that the VM's peers know: all
+        revisions below it are refused.
+        """
+        state = self._state
+        if placement.revision <= state.adopted:
+            return
+        if state.placement is None:
+            state.first_revision = placement.revision
+        state.placement = placement
+        state.revisions.add(placement.revision)
+        for shard in range(state.terms.shard_count):
+            witnesses = placement.witnesses(shard)
+            state.plan_read_back(shard, placement.revision, witnesses)
+        self._drop_old_read_backs()
+
+    def learn_history(self, placements: tuple[Placement, ...]) -> None:
+        """Notes earlier lists, to tell of them when asked."""
+        known = (placement.revision for placement in placements)
+        self._state.revisions.update(known)
+
+    def handle(
+        self,
+        message: CoordinationRequest,
+        now: float,
+        wall: float,
+    ) -> CoordinationReply:
+        """Answers a request at `now` of the boot clock, `wall` unix time."""
+        return handle(self._state, message, now, wall)
+
+    def tick(self, now: float) -> tuple[Outgoing, ...]:
+        """Returns the read-back requests that are due; evicts old records."""
+        self._evict(now)
+        if self._state.is_abstaining(now):
+            return ()
+        unfinished = self._state.read_backs
+        for read_back in tuple(unfinished.values()):
+            self._finish(read_back, now)
+        return tuple(
+            outgoing
+            for waiting in unfinished.values()
+            for outgoing in waiting.requests(self.incarnation, now)
+        )
+
+    def receive(
+        self,
+        sender: str,
+        reply: CoordinationReply,
+        now: float,
+    ) -> None:
+        """Takes the reply to a request that `tick` returned."""
+        if not isinstance(reply, ReadBackReply):
+            return
+        read_back = self._state.read_backs.get((reply.shard, reply.revision))
+        if read_back is None or reply.incarnation != self.incarnation:
+            return
+        read_back.receive(sender, reply)
+        self._finish(read_back, now)
+
+    def _finish(self, read_back: ReadBack, now: float) -> None:
+        """Takes over what was read back, once enough others have answered."""
+        state = self._state
+        is_whole = state.is_long_up(now) or read_back.is_complete(now)
+        if state.is_abstaining(now) or not is_whole:
+            return
+        memory = state.memory(read_back.shard)
+        for view in read_back.views:
+            memory.fences.update(view.fences)
+        views = read_back.installed_views
+        is_served = memory.installed >= read_back.revision
+        if views and not is_served and not memory.is_stale(read_back.revision):
+            vouch_from = read_back.vouch_from(state.start_wall_limit)
+            memory.restore(read_back.revision, vouch_from, views)
+        memory.whole_at.add(read_back.revision)
+        state.read_backs.pop((read_back.shard, read_back.revision))
+
+    def _drop_old_read_backs(self) -> None:
+        """Keeps the read-backs of the newest lists; drivers repeat theirs."""
+        state = self._state
+        newest = sorted(state.revisions)[-_LISTS_READ_BACK:]
+        state.read_backs = {
+            (shard, revision): read_back
+            for (shard, revision), read_back in state.read_backs.items()
+            if revision >= newest[0]
+        }
+
+    def _evict(self, now: float) -> None:
+        if now - self._evicted_at < _EVICTION_INTERVAL_SECONDS:
+            return
+        self._evicted_at = now
+        wall = self._state.wall(now)
+        for memory in self._state.shards.values():
+            memory.records = {
+                key: record
+                for key, record in memory.records.items()
+                if claim_votes.is_kept(record, wall, self._state.terms)
+            }
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness_state.py
@@ -0,0 +1,96 @@
+"""What a witness keeps, apart from how it answers."""
+
+from attrs import define, field
+
+from jacinthcroft_decisions.internal.coordination.placement import Placement
+from jacinthcroft_decisions.internal.coordination.recovery import ReadBack
+from jacinthcroft_decisions.internal.coordination.shard_memory import (
+    ShardMemory,
+)
+from jacinthcroft_decisions.internal.coordination.terms import (
+    CoordinationTerms,
+)
+
+
+@define
+class WitnessState:
+    """One incarnation's memory of all shards.
+
+    `started_at` is on the boot clock, `started_wall` in unix seconds.
+    """
+
+    vm: str
+    incarnation: str
+    started_at: float
+    started_wall: float
+    terms: CoordinationTerms
+    placement: Placement | None = field(default=None, init=False)
+    first_revision: int = field(default=0, init=False)
+    revisions: set[int] = field(factory=set, init=False)
+    shards: dict[int, ShardMemory] = field(factory=dict, init=False)
+    read_backs: dict[tuple[int, int], ReadBack] = field(
+        factory=dict,
+        init=False,
+    )
+
+    @property
+    def start_wall_limit(self) -> float:
+        """The latest key time that an earlier incarnation may have met."""
+        return self.started_wall + self.terms.vouch_margin
+
+    @property
+    def adopted(self) -> int:
+        """The revision of the newest adopted list, 0 before any."""
+        return self.placement.revision if self.placement else 0
+
+    def is_abstaining(self, now: float) -> bool:
+        """Whether an earlier incarnation's votes may still count."""
+        if self.placement is None:
+            return True
+        return now < self.started_at + self.terms.abstention
+
+    def is_long_up(self, now: float) -> bool:
+        """Whether nothing that an earlier incarnation knew matters now."""
+        return now >= self.started_at + self.terms.key_retention
+
+    def is_whole_for(self, shard: int, revision: int, now: float) -> bool:
+        """Whether no vote under the revision can have been forgotten."""
+        if self.is_long_up(now):
+            return True
+        return revision in self.memory(shard).whole_at
+
+    def plan_read_back(
+        self,
+        shard: int,
+        revision: int,
+        witnesses: tuple[str, ...],
+    ) -> None:
+        """Starts to read back what may be lost of a list's votes."""
+        is_whole = revision in self.memory(shard).whole_at
+        is_planned = (shard, revision) in self.read_backs
+        if is_whole or is_planned or self.vm not in witnesses:
+            return
+        self.read_backs[shard, revision] = ReadBack(
+            shard,
+            revision,
+            self.vm,
+            witnesses,
+            self.terms,
+        )
+
+    def memory(self, shard: int) -> ShardMemory:
+        """Returns the shard's memory, a new one being fenced at the list."""
+        known = self.shards.get(shard)
+        if known is None:
+            known = ShardMemory(self.start_wall_limit)
+            known.fences.add(self.first_revision)
+            self.shards[shard] = known
+        return known
+
+    def newest(self, shard: int) -> int:
+        """Returns the highest revision met for the shard."""
+        return max(self.memory(shard).newest, self.adopted)
+
+    def wall(self, now: float) -> float:
+        """Returns unix seconds at a time of the boot clock."""
+        return self.started_wall + (now - self.started_at)
