--- a/tests/quality/test_examples_and_pages.py
+++ b/tests/quality/test_examples_and_pages.py
@@ -13,6 +13,11 @@
     hash_key,
     load_configuration,
 )
+from jacinthcroft_daemon.internal.pipeline.refusals import (
+    Outcome,
+    Reason,
+    Refusal,
+)
 
 ROOT = pathlib.Path(__file__).parents[2]
 FIRMS = ('huberbauer', 'etiquette-atlas')
@@ -82,6 +87,19 @@
     assert page == f'{describe_service_file()}\n'
 
 
+def test_the_readme_lists_every_reason_with_its_status() -> None:
+    readme = (ROOT / 'README.md').read_text()
+    rows = re.findall(r'^\| `([a-z-]+)` \| (\d+) \|', readme, re.MULTILINE)
+
+    assert sorted(rows) == sorted(
+        (
+            reason.value,
+            str(Refusal(reason, Outcome.UNKNOWN, detail='').status),
+        )
+        for reason in Reason
+    )
+
+
 def test_the_first_service_file_of_the_readme_passes_check(
     tmp_path: pathlib.Path,
 ) -> None:
