Hand cells over on a planned stop; take over soon after a crashed holder

Cause: a lower-ranked candidate waited two lease terms after it last saw a holder, and a planned stop left its successor waiting for the longest deadline. Ruled out: a shorter lease term, which would more than spend the control budget. Change: witnesses tell the lease's remaining time and candidates act right after it, staggered by rank; a leaving holder sends its permits along and invites the next candidate.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/app.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/app.py
@@ -106,6 +106,7 @@
             view,
             self._coordination,
             Prober(self._pool),
+            self._peers,
             incarnation,
         )
         self._permits = PermitService(view, self._cells, finder)
@@ -215,7 +216,9 @@
         # The balancer sees the readiness drop within this time; whatever it
         # still sends is served.
         await asyncio.sleep(self._settings.tunables.drain_notice_ms / 1000)
+        handovers = self._cells.close()
         await self._coordination.release()
+        await self._cells.hand_over(handovers)
         cut = await self._caller_server.drain(
             self._settings.tunables.drain_seconds
         )
--- a/packages/daemon/src/jacinthcroft_daemon/internal/fleet/view.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/fleet/view.py
@@ -16,6 +16,7 @@
     Service,
     TeamIndex,
     VmList,
+    VmState,
 )
 from jacinthcroft_decisions.coordination import (
     CoordinationTerms,
@@ -71,6 +72,13 @@
         """This VM's availability zone."""
         return self._zone
 
+    @property
+    def state(self) -> VmState:
+        """What the newest list says of this VM; one not listed is live."""
+        named = (vm for vm in self._vm_list.vms if vm.name == self._vm)
+        listed = next(named, None)
+        return VmState.LIVE if listed is None else listed.state
+
     @property
     def terms(self) -> CoordinationTerms:
         """The terms that every VM of the fleet shares."""
--- a/packages/daemon/src/jacinthcroft_daemon/internal/operators.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/operators.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from jacinthcroft_config import VmState
 from jacinthcroft_http import IncomingRequest, Response, now
 
 from jacinthcroft_daemon.internal.fleet.view import FleetView
@@ -50,6 +51,11 @@
         self.reporter = reporter
         self.is_draining = False
 
+    @property
+    def is_staying(self) -> bool:
+        """Whether neither the platform nor an operator stops this VM."""
+        return self.view.state is VmState.LIVE and not self.is_draining
+
     @property
     def is_ready(self) -> bool:
         """Whether callers should be sent here."""
@@ -59,7 +65,7 @@
         return (
             is_configured
             and is_zone_in
-            and not self.is_draining
+            and self.is_staying
             and view.is_fresh(now())
         )
 
@@ -91,7 +97,7 @@
         {
             'vm': view.vm,
             'zone': view.zone,
-            'state': 'leaving' if port.is_draining else 'live',
+            'state': 'live' if port.is_staying else 'leaving',
             'list_revision': view.vm_list.revision,
             'configuration_revision': view.configuration.revision,
             'configuration_age_seconds': round(now() - view.configured_at, 1),
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/held_cells.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/held_cells.py
@@ -6,12 +6,14 @@
 
 import asyncio
 import random
+from collections.abc import Iterable
 from typing import Final
 
 from attrs import define, field, frozen
 from jacinthcroft_config import Service
 from jacinthcroft_decisions.traffic import (
     Cell,
+    CellHandover,
     Permit,
     PermitAsk,
     PermitRefusal,
@@ -24,7 +26,7 @@
 from jacinthcroft_http import now
 
 from jacinthcroft_daemon.internal.fleet.view import FleetView
-from jacinthcroft_daemon.internal.peers import PeerRouter
+from jacinthcroft_daemon.internal.peers import PeerClient, PeerRouter
 from jacinthcroft_daemon.internal.sharing.coordination import (
     CoordinationService,
 )
@@ -33,7 +35,13 @@
 
 ASK_KIND: Final = 'permit'
 REPORT_KIND: Final = 'reports'
+_HANDOVER_KIND: Final = 'handover'
+_HANDOVER_TIMEOUT_SECONDS: Final = 0.5
+# A handover speaks of the holder right before; by this age another VM could
+# have held the cell in between.
+_HANDOVER_MAX_AGE_SECONDS: Final = 1.5
 _TICK_SECONDS: Final = 0.05
+_TOLD_SUCCESSORS: Final = 2
 
 
 @frozen
@@ -59,6 +67,19 @@
     reply: ReportReply | None
 
 
+@frozen
+class HandoverReply:
+    """The handover arrived."""
+
+    vm: str
+
+
+@frozen
+class _ReceivedHandover:
+    handover: CellHandover
+    received_at: float
+
+
 @define
 class _HeldCell:
     held_since: float
@@ -76,15 +97,19 @@
         view: FleetView,
         coordination: CoordinationService,
         prober: Prober,
+        peers: PeerClient,
         incarnation: str,
     ) -> None:
         """Judges under the coordination service's leases."""
         self._view = view
         self._coordination = coordination
         self._prober = prober
+        self._peers = peers
         self._incarnation = incarnation
         self._random = random.Random()
         self._cells: dict[str, _HeldCell] = {}
+        self._handovers: dict[str, _ReceivedHandover] = {}
+        self._is_closed = False
 
     @property
     def target_views(self) -> tuple[tuple[str, TargetView], ...]:
@@ -100,6 +125,33 @@
         """Answers peers' questions and reports."""
         router.register(ASK_KIND, PermitAsk, self.answer_ask)
         router.register(REPORT_KIND, ReportBatch, self.answer_reports)
+        router.register(_HANDOVER_KIND, CellHandover, self._answer_handover)
+
+    def close(self) -> tuple[CellHandover, ...]:
+        """Stops granting for good; returns what the successors need."""
+        self._is_closed = True
+        handovers = tuple(
+            held.cell.hand_over(now()) for held in self._cells.values()
+        )
+        for name in tuple(self._cells):
+            self._drop(name)
+        return handovers
+
+    async def hand_over(self, handovers: Iterable[CellHandover]) -> None:
+        """Tells the next candidates, once the leases are given up."""
+        await asyncio.gather(
+            *(
+                self._peers.ask(
+                    vm,
+                    _HANDOVER_KIND,
+                    handover,
+                    HandoverReply,
+                    _HANDOVER_TIMEOUT_SECONDS,
+                )
+                for handover in handovers
+                for vm in self._successors(handover.cell)
+            )
+        )
 
     async def answer_ask(self, sender: str, ask: PermitAsk) -> PermitReply:
         """Waits for a permit in the cell's queue."""
@@ -155,6 +207,31 @@
         for service in self._view.configuration.services:
             self._held(service.name)
 
+    def _successors(self, cell: str) -> tuple[str, ...]:
+        placement = self._view.placement
+        ranked = placement.candidates(placement.shard_of(f'cell:{cell}'))
+        others = (vm for vm in ranked if vm != self._view.vm)
+        return tuple(others)[:_TOLD_SUCCESSORS]
+
+    async def _answer_handover(
+        self,
+        sender: str,
+        handover: CellHandover,
+    ) -> HandoverReply:
+        self._handovers[handover.cell] = _ReceivedHandover(handover, now())
+        shard = self._view.placement.shard_of(f'cell:{handover.cell}')
+        self._coordination.coordinator.invite(shard, now())
+        return HandoverReply(self._view.vm)
+
+    def _take_handover(
+        self, name: str, held_since: float
+    ) -> CellHandover | None:
+        received = self._handovers.pop(name, None)
+        if received is None:
+            return None
+        age = held_since - received.received_at
+        return received.handover if age < _HANDOVER_MAX_AGE_SECONDS else None
+
     def _tick(self, name: str) -> None:
         held = self._held(name)
         if held is None:
@@ -169,7 +246,8 @@
         shard = self._view.placement.shard_of(f'cell:{name}')
         coordinator = self._coordination.coordinator
         service = self._view.service(name)
-        if service is None or not coordinator.holds(shard, now()):
+        is_held = coordinator.holds(shard, now()) and not self._is_closed
+        if service is None or not is_held:
             self._drop(name)
             return None
         held = self._cells.get(name)
@@ -188,6 +266,7 @@
             self._incarnation,
             self._random,
             zones_out,
+            self._take_handover(service.name, held_since),
         )
         held = _HeldCell(held_since, service, zones_out, cell)
         self._cells[service.name] = held
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/coordinator.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/coordinator.py
@@ -135,6 +135,16 @@
             farewells.extend(candidacy.release(now))
         return tuple(farewells)
 
+    def invite(self, shard: int, now: float) -> None:
+        """Lets this VM stand for a shard that its holder has given up."""
+        candidacy = self._candidacies.get(shard)
+        if candidacy is not None:
+            candidacy.hold.invite(now)
+
+    def _turn(self, rank: int, now: float) -> float:
+        """Returns when a rank acts that has not seen any holder yet."""
+        return now + self.terms.lease_term * (1 + rank)
+
     def _revision(self) -> int:
         return self._question.placement.revision if self._question else 0
 
@@ -154,7 +164,7 @@
             standing[shard] = Candidacy(
                 shard,
                 placement,
-                ShardHold(self.terms, witnesses, rank, now),
+                ShardHold(self.terms, witnesses, rank, self._turn(rank, now)),
                 self.vm,
                 self.incarnation,
                 self._sequence,
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/holds.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/holds.py
@@ -26,7 +26,7 @@
     terms: CoordinationTerms
     witnesses: tuple[str, ...]
     rank: int
-    quiet_since: float
+    turn_at: float
     until: float = 0
     since: float = 0
     is_driving: bool = False
@@ -46,13 +46,17 @@
     def is_acting(self, now: float) -> bool:
         """Whether this candidate's turn has come.
 
-        A lower-ranked one waits until no holder was seen for a lease term
-        and its own share of delay.
+        A lower-ranked one waits until the lease that it last saw has run
+        out, and then its rank's share of delay, so that two candidates
+        seldom split the votes. Asking too early would do no harm: a witness
+        gives nobody a lease that another one still has.
         """
-        if self.rank == 0 or self.holds(now):
-            return True
-        delay = self.terms.lease_term * (1 + self.rank)
-        return now - self.quiet_since >= delay
+        return self.rank == 0 or self.holds(now) or now >= self.turn_at
+
+    def invite(self, now: float) -> None:
+        """Makes this candidate act at once: the holder gave its lease up."""
+        self.turn_at = now
+        self._asked_at = _NEVER
 
     def is_due(self, now: float) -> bool:
         """Whether to ask the witnesses now; notes that they were."""
@@ -72,8 +76,9 @@
         now: float,
     ) -> None:
         """Takes a witness's reply to a request sent at `sent_at`."""
-        if reply.outcome is Outcome.HELD:
-            self.quiet_since = now
+        if reply.outcome is Outcome.HELD and reply.lease is not None:
+            delay = self.rank * self.terms.takeover_step
+            self.turn_at = now + reply.lease.remaining + delay
         if reply.outcome is Outcome.NOT_INSTALLED:
             self.is_driving = True
         if reply.outcome is Outcome.DONE and sent_at > self._released_at:
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/terms.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/terms.py
@@ -8,12 +8,13 @@
     """Times in seconds and counts; the defaults suit zones 2 ms apart.
 
     `drift_margin` is the share by which two clocks may run apart, and by
-    which holders cut their leases short. `clock_skew` bounds the difference
-    between the wall clocks of any two VMs, and how far in the future a
-    caller's key may lie. `running_limit` is how long a claim without an
-    answer is reported as running; after that its outcome is unknown.
-    `freshness_limit` is how long a VM may go on without hearing from the
-    platform or a majority of the fleet.
+    which holders cut their leases short. `takeover_step` is how much longer
+    each lower rank waits after a lease that was not renewed. `clock_skew`
+    bounds the difference between the wall clocks of any two VMs, and how far
+    in the future a caller's key may lie. `running_limit` is how long a claim
+    without an answer is reported as running; after that its outcome is
+    unknown. `freshness_limit` is how long a VM may go on without hearing
+    from the platform or a majority of the fleet.
     """
 
     shard_count: int = 64
@@ -21,6 +22,7 @@
     candidate_count: int = 3
     lease_term: float = 3.0
     renew_interval: float = 0.6
+    takeover_step: float = 0.4
     drift_margin: float = 0.1
     claim_timeout: float = 1.0
     key_retention: float = 600.0
