Take cells over before anybody asks; log whether they were handed over

Cause: a cell was built at its first question, so its wait for the predecessor's permits began only then.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/held_cells.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/held_cells.py
@@ -41,6 +41,7 @@
 # have held the cell in between.
 _HANDOVER_MAX_AGE_SECONDS: Final = 1.5
 _TICK_SECONDS: Final = 0.05
+_ADOPT_SECONDS: Final = 0.25
 _TOLD_SUCCESSORS: Final = 2
 
 
@@ -197,7 +198,13 @@
 
     async def run(self) -> None:
         """Lets time pass in all held cells, for ever."""
+        adopted_at = 0.0
         while True:
+            if now() - adopted_at > _ADOPT_SECONDS:
+                # A cell that is taken over before anybody asks for it has
+                # waited out its predecessor's permits by then.
+                adopted_at = now()
+                self.adopt()
             for name in tuple(self._cells):
                 self._tick(name)
             await asyncio.sleep(_TICK_SECONDS)
@@ -260,17 +267,23 @@
 
     def _take_over(self, service: Service, held_since: float) -> _HeldCell:
         zones_out = self._view.vm_list.zones_out
+        handover = self._take_handover(service.name, held_since)
         cell = Cell.from_config(
             service,
             held_since,
             self._incarnation,
             self._random,
             zones_out,
-            self._take_handover(service.name, held_since),
+            handover,
         )
         held = _HeldCell(held_since, service, zones_out, cell)
         self._cells[service.name] = held
-        log_event('info', 'cell-held', cell=service.name)
+        log_event(
+            'info',
+            'cell-held',
+            cell=service.name,
+            was_handed_over=handover is not None,
+        )
         return held
 
     def _refresh(self, held: _HeldCell, service: Service) -> None:
