Add logs, metrics and traces of a VM

Cause: the daemon logged by a stand-in and had neither metrics nor traces. Change: events as one line of key=value pairs, whoever logs; secrets refused by field name; repeats held back and counted. Latency histograms by team and class, bounded in teams, counters and gauges; a ring of request traces. Run: make lint green; tests in tests/cover/telemetry (20) and tests/cover/http (50) green. Not run: the daemon with it.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/telemetry/__init__.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/telemetry/__init__.py
@@ -1,12 +1,45 @@
-"""Logs, metrics and traces of one VM."""
+"""Logs, metrics and traces of one VM.
 
-from absl import logging
+None of them ever holds a caller's key or data: events refuse fields under
+such names, metrics know teams and classes only, traces request ids.
+"""
 
+from jacinthcroft_daemon.internal.telemetry.counts import Count
+from jacinthcroft_daemon.internal.telemetry.events import (
+    Level,
+    log_event,
+)
+from jacinthcroft_daemon.internal.telemetry.line_format import (
+    LineFormatter,
+    set_up_logging,
+)
+from jacinthcroft_daemon.internal.telemetry.metrics import (
+    Metrics,
+    Revisions,
+)
+from jacinthcroft_daemon.internal.telemetry.repeats import (
+    Admission,
+    RepeatLimiter,
+    RepeatLog,
+    Suppression,
+)
+from jacinthcroft_daemon.internal.telemetry.traces import (
+    TraceBook,
+    TraceEvent,
+)
 
-def log_event(level: str, event: str, **fields: object) -> None:
-    """Writes one event as a line of key=value pairs."""
-    pairs = ' '.join(f'{name}={field!r}' for name, field in fields.items())
-    logging.info('level=%s event=%s %s', level, event, pairs)
-
-
-__all__ = ('log_event',)
+__all__ = (
+    'Admission',
+    'Count',
+    'Level',
+    'LineFormatter',
+    'Metrics',
+    'RepeatLimiter',
+    'RepeatLog',
+    'Revisions',
+    'Suppression',
+    'TraceBook',
+    'TraceEvent',
+    'log_event',
+    'set_up_logging',
+)
