--- a/packages/daemon/src/jacinthcroft_daemon/internal/app.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/app.py
@@ -59,7 +59,6 @@
             settings.vm.zone,
             CoordinationTerms(),
             started_at,
-            settings.network.address_map,
         )
         self._peers = PeerClient(
             settings.vm.name,
@@ -106,7 +105,8 @@
         self._cells = HeldCells(
             view,
             self._coordination,
-            Prober(view, self._pool),
+            Prober(self._pool),
+            self._peers,
             incarnation,
         )
         self._permits = PermitService(view, self._cells, finder)
@@ -129,7 +129,7 @@
     def _build_ports(self) -> None:
         reporter = RequestReporter()
         admission = Admission(self._view)
-        attempts = Attempts(self._view, admission, self._permits, self._pool)
+        attempts = Attempts(admission, self._permits, self._pool)
         runner = Runner(
             self._tokens,
             self._permits,
@@ -216,7 +216,9 @@
         # The balancer sees the readiness drop within this time; whatever it
         # still sends is served.
         await asyncio.sleep(self._settings.tunables.drain_notice_ms / 1000)
+        handovers = self._cells.close()
         await self._coordination.release()
+        await self._cells.hand_over(handovers)
         cut = await self._caller_server.drain(
             self._settings.tunables.drain_seconds
         )
