Try any bytes as a target's answer

Cause: the pool was only tested with chosen bad answers. Change: a derandomized search over fragments and random bytes; each ends in a body or an interruption, sent once, and the pool goes on.

--- a/tests/cover/http/test_http_pool.py
+++ b/tests/cover/http/test_http_pool.py
@@ -5,6 +5,8 @@
 from collections.abc import AsyncIterator
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from jacinthcroft_http import (
     Answer,
     BodyCut,
@@ -121,6 +123,36 @@
         assert len(heads) == 1, 'it must not be sent twice'
 
 
+PARTS = st.sampled_from(
+    [
+        WHOLE,
+        CUT,
+        b'HTTP/1.1 100 Continue\r\n\r\n',
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+        b'3\r\nabc\r\n',
+        b'0\r\n\r\n',
+        b'\r\n\r\n',
+    ]
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=100)
+@given(st.lists(st.one_of(PARTS, st.binary(max_size=20)), max_size=5))
+def test_any_answer_ends_in_an_outcome(parts: list[bytes]) -> None:
+    @in_loop
+    async def check() -> None:
+        async with (
+            scripted(b''.join(parts)) as (port, heads),
+            serving() as bench,
+        ):
+            outcome = await ask(bench.pool, port)
+            assert isinstance(outcome, bytes | Interrupted)
+            assert len(heads) == 1
+            assert await ask(bench.pool, bench.port) == b''
+
+    check()
+
+
 @in_loop
 async def test_a_cut_answer_is_told_apart_from_a_whole_one() -> None:
     async with scripted(CUT) as (port, _), serving() as bench:
