Test token windows, slots and the floor under random interleavings

Cause: the promises need proof under lost, late and doubled messages. Change: seeded runs drawn by Hypothesis; broken variants are caught. Drawn lists of steps and state machines were tried first and reached too few interleavings to catch them.

--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_ledger.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_ledger.py
@@ -4,7 +4,6 @@
 VMs decide who gets how much of it while tokens are scarce.
 """
 
-import math
 from collections import deque
 from typing import Self
 
@@ -117,9 +116,10 @@
         taken = sum(
             grant.tokens for grant in self._recent if grant.vm == ask.vm
         )
-        fair = math.ceil(self._share(ask) * pool) - taken
-        if not self._is_overdrawn():
-            # The others together ask for less than what comes in.
+        fair = round(self._share(ask) * pool) - taken
+        if not taken or not self._is_overdrawn():
+            # Shares below one token must not round down to nothing, and
+            # while the demand is below the refill there is enough for all.
             fair = max(fair, 1)
         return min(available, fair)
 
--- /dev/null
+++ b/tests/cover/traffic/builders.py
@@ -0,0 +1,163 @@
+"""Services, asks and reports for the traffic tests."""
+
+from random import Random
+
+from attrs import evolve
+from jacinthcroft_config import (
+    Access,
+    Address,
+    Route,
+    Service,
+    Target,
+    TargetLimits,
+    TargetState,
+    Team,
+)
+from jacinthcroft_decisions.traffic import (
+    Cell,
+    CellEvent,
+    PermitAsk,
+    PermitReport,
+    RunOutcome,
+    TargetCondition,
+)
+
+LONGEST_RUN = 2.0
+OPEN_FROM = LONGEST_RUN + 0.1
+FAST = 0.01
+ZONES = ('z0', 'z1', 'z2')
+
+
+def make_team(rate: float = 50, burst: int = 100) -> Team:
+    return Team('app', rate, burst, ())
+
+
+def make_service(
+    targets: int = 6,
+    slots: int = 2,
+    cold_slots: int = 1,
+    floor: float = 0.5,
+    cold_start_seconds: float = 5,
+) -> Service:
+    route = Route(
+        name='read',
+        methods=('GET',),
+        path='/pots',
+        access=Access.TEAMS,
+        teams=('app',),
+        is_idempotent=True,
+        request_class='reads',
+        deadline_ms=int(LONGEST_RUN * 1000),
+    )
+    return Service(
+        name='history',
+        limits=TargetLimits(
+            slots=slots,
+            cold_slots=cold_slots,
+            cold_start_seconds=cold_start_seconds,
+            connections=300,
+            floor=floor,
+        ),
+        routes=(route,),
+        teams=(make_team(),),
+        targets=tuple(make_target(number) for number in range(targets)),
+    )
+
+
+def make_target(number: int) -> Target:
+    return Target(
+        name=f't{number}',
+        address=Address('127.0.0.1', 9000 + number),
+        zone=ZONES[number % len(ZONES)],
+        state=TargetState.ACTIVE,
+    )
+
+
+def with_leaving(service: Service, leaving: frozenset[str]) -> Service:
+    targets = tuple(
+        evolve(target, state=TargetState.LEAVING)
+        if target.name in leaving
+        else target
+        for target in service.targets
+    )
+    return evolve(service, targets=targets)
+
+
+def make_ask(
+    vm: str = 'vm0',
+    zone: str = 'z0',
+    team: str = 'app',
+    request_class: str = 'reads',
+    patience: float = 1,
+) -> PermitAsk:
+    return PermitAsk('history', vm, zone, team, request_class, patience)
+
+
+class Driver:
+    """Runs single requests through a cell, one after the other."""
+
+    def __init__(self, service: Service, seed: int = 1) -> None:
+        """Starts when the new holder may grant."""
+        self.cell = Cell.from_config(service, 0, 'inc', Random(seed))
+        self.now = OPEN_FROM
+        self.events: list[CellEvent] = []
+        self.used: list[str] = []
+
+    def run(
+        self,
+        sick: dict[str, RunOutcome],
+        vm: str = 'vm0',
+        zone: str = 'z0',
+        latency: float = FAST,
+        slow: dict[str, float] | None = None,
+        boot_id: str | None = None,
+    ) -> str | None:
+        """Runs one request; returns its target."""
+        self.now += 0.02
+        self.cell.tick(self.now)
+        self.cell.ask(make_ask(vm, zone), self.now)
+        granted = self.cell.grants(self.now, self.now + 3)
+        if not granted:
+            self.cell.expired(self.now + 10)
+            self.events.extend(self.cell.events())
+            return None
+        permit = granted[0].permit
+        self.now += FAST
+        report = PermitReport(
+            permit_id=permit.id,
+            cell=permit.cell,
+            vm=vm,
+            target=permit.target,
+            outcome=sick.get(permit.target, RunOutcome.ANSWERED),
+            latency=(slow or {}).get(permit.target, latency),
+            is_returned=True,
+            boot_id=boot_id,
+            is_draining=False,
+            run_number=1,
+        )
+        self.cell.report(report, self.now)
+        self.events.extend(self.cell.events())
+        self.used.append(permit.target)
+        return permit.target
+
+    def run_many(
+        self,
+        count: int,
+        sick: dict[str, RunOutcome] | None = None,
+        slow: dict[str, float] | None = None,
+    ) -> list[str | None]:
+        """Runs requests from VMs of all zones in turn."""
+        return [
+            self.run(
+                sick or {},
+                vm=f'vm{number % 6}',
+                zone=ZONES[number % len(ZONES)],
+                slow=slow,
+            )
+            for number in range(count)
+        ]
+
+    def conditions(self) -> dict[str, TargetCondition]:
+        """Returns what the cell makes of each target."""
+        views = self.cell.health_view(self.now)
+        return {view.name: view.state for view in views}
--- /dev/null
+++ b/tests/cover/traffic/test_ejection_floor.py
@@ -0,0 +1,117 @@
+"""Ejection never leaves fewer targets in use than the floor says."""
+
+import math
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from jacinthcroft_decisions.internal.traffic.ejection import Ejection
+from jacinthcroft_decisions.traffic import (
+    Cell,
+    EjectionWithheld,
+    PermitReport,
+    RunOutcome,
+    TargetCondition,
+    TargetEjected,
+    TargetReadmitted,
+)
+
+from tests.cover.traffic.builders import (
+    OPEN_FROM,
+    ZONES,
+    Driver,
+    make_ask,
+    make_service,
+    with_leaving,
+)
+
+BAD = (RunOutcome.SERVER_ERROR, RunOutcome.RESET, RunOutcome.STALLED)
+ALL = tuple(f't{number}' for number in range(6))
+
+
+def assert_floor_holds(cell: Cell, floor: float, now: float) -> None:
+    states = [view.state for view in cell.health_view(now)]
+    leaving = states.count(TargetCondition.LEAVING)
+    active = len(states) - leaving
+    in_use = active - states.count(TargetCondition.EJECTED)
+    assert in_use >= math.ceil(floor * active)
+
+
+@settings(derandomize=True, deadline=None, max_examples=60)
+@given(
+    floor=st.sampled_from((0, 0.3, 0.5, 1)),
+    random=st.randoms(use_true_random=True),
+)
+def check_floor(floor: float, random: Random) -> None:
+    service = make_service(floor=floor)
+    cell = Cell.from_config(service, 0, 'inc', random)
+    now = OPEN_FROM
+    for _ in range(200):
+        now += random.choice((0.01, 0.01, 0.3, 3))
+        cell.tick(now)
+        if not random.randrange(30):
+            leaving = frozenset(random.sample(ALL, random.randrange(5)))
+            zones_out = random.sample(ZONES, random.randrange(2))
+            cell.reconfigure(with_leaving(service, leaving), zones_out, now)
+        assert_floor_holds(cell, floor, now)
+        vm = f'vm{random.randrange(6)}'
+        cell.ask(make_ask(vm, zone=ZONES[int(vm[2:]) % 3]), now)
+        for granted in cell.grants(now, now + 3):
+            report = PermitReport(
+                permit_id=granted.permit.id,
+                cell='history',
+                vm=vm,
+                target=granted.permit.target,
+                outcome=random.choice((*BAD, RunOutcome.ANSWERED)),
+                latency=1,
+                is_returned=True,
+                boot_id=None,
+                is_draining=not random.randrange(50),
+            )
+            cell.report(report, now)
+            assert_floor_holds(cell, floor, now)
+
+
+def test_ejection_never_goes_below_the_floor() -> None:
+    check_floor()
+
+
+def test_the_floor_check_catches_unbounded_ejection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(Ejection, 'may_eject', lambda ejection: True)
+    with pytest.raises(AssertionError):
+        check_floor()
+
+
+def test_when_all_fail_the_floor_stays_and_says_so() -> None:
+    driver = Driver(make_service(floor=0.5))
+    driver.run_many(20)
+    driver.run_many(200, dict.fromkeys(ALL, RunOutcome.SERVER_ERROR))
+    states = tuple(driver.conditions().values())
+    assert states.count(TargetCondition.EJECTED) <= 3
+    kinds = [type(event) for event in driver.events]
+    assert EjectionWithheld in kinds
+
+
+def test_fewer_active_targets_bring_ejected_ones_back() -> None:
+    service = make_service(floor=0.5)
+    driver = Driver(service)
+    driver.run_many(40)
+    driver.run_many(80, {'t0': RunOutcome.RESET, 't1': RunOutcome.RESET})
+    ejected = {
+        event.target
+        for event in driver.events
+        if isinstance(event, TargetEjected)
+    }
+    assert ejected == {'t0', 't1'}
+    leaving = with_leaving(service, frozenset(('t2', 't3', 't4')))
+    driver.cell.reconfigure(leaving, (), driver.now)
+    assert_floor_holds(driver.cell, 0.5, driver.now)
+    returned = [
+        event
+        for event in driver.cell.events()
+        if isinstance(event, TargetReadmitted)
+    ]
+    assert [event.is_for_floor for event in returned] == [True]
--- /dev/null
+++ b/tests/cover/traffic/test_target_health.py
@@ -0,0 +1,232 @@
+"""Sick targets are found by how they differ from the others."""
+
+import pytest
+from jacinthcroft_decisions.traffic import (
+    ColdStartNoticed,
+    PathBlocked,
+    RunOutcome,
+    TargetCondition,
+    TargetEjected,
+    TargetReadmitted,
+)
+
+from tests.cover.traffic.builders import (
+    FAST,
+    ZONES,
+    Driver,
+    make_service,
+)
+
+REASONS = {
+    RunOutcome.SERVER_ERROR: 'errors',
+    RunOutcome.STALLED: 'stalls',
+    RunOutcome.RESET: 'resets',
+    RunOutcome.CONNECT_FAILED: 'connects',
+    RunOutcome.CROSSED: 'crossings',
+}
+
+
+def warm_driver(floor: float = 0.5) -> Driver:
+    driver = Driver(make_service(floor=floor, cold_start_seconds=0.5))
+    driver.run_many(120)
+    assert not driver.events
+    return driver
+
+
+def ejected(driver: Driver) -> list[TargetEjected]:
+    return [
+        event for event in driver.events if isinstance(event, TargetEjected)
+    ]
+
+
+@pytest.mark.parametrize('outcome', REASONS)
+def test_a_target_that_only_fails_is_ejected_after_a_few_requests(
+    outcome: RunOutcome,
+) -> None:
+    driver = warm_driver()
+    driver.used.clear()
+    while not ejected(driver):
+        driver.run_many(6, {'t2': outcome})
+    assert ejected(driver)[0].target == 't2'
+    assert ejected(driver)[0].reasons == (REASONS[outcome],)
+    assert driver.used.count('t2') <= 4
+    assert driver.conditions()['t2'] is TargetCondition.EJECTED
+
+
+def test_a_target_that_stalls_every_second_call_is_ejected() -> None:
+    driver = warm_driver()
+    for turn in range(60):
+        outcome = RunOutcome.STALLED if turn % 2 else RunOutcome.ANSWERED
+        driver.run_many(5, {'t2': outcome})
+    assert {event.target for event in ejected(driver)} == {'t2'}
+
+
+def test_faults_of_the_whole_service_eject_nobody() -> None:
+    driver = Driver(make_service(cold_start_seconds=0.5))
+    everywhere = {f't{number}': RunOutcome.SERVER_ERROR for number in range(6)}
+    driver.run_many(120)
+    for _ in range(60):
+        # One in ten requests fails wherever it runs.
+        driver.run_many(9)
+        driver.run_many(1, everywhere)
+    assert not ejected(driver)
+
+
+def test_shed_load_and_cancelled_requests_blame_nobody() -> None:
+    driver = warm_driver()
+    driver.run_many(60, {'t2': RunOutcome.SHED, 't3': RunOutcome.CANCELLED})
+    assert not ejected(driver)
+
+
+def test_a_deadline_shorter_than_a_usual_answer_blames_nobody() -> None:
+    driver = warm_driver()
+    stalled = {f't{number}': RunOutcome.STALLED for number in range(6)}
+    for _ in range(60):
+        driver.run(stalled, latency=FAST / 10)
+    assert not ejected(driver)
+
+
+def test_an_ejected_target_returns_by_single_trials() -> None:
+    driver = warm_driver()
+    driver.run_many(60, {'t2': RunOutcome.RESET})
+    assert driver.conditions()['t2'] is TargetCondition.EJECTED
+    driver.used.clear()
+    driver.now = ejected(driver)[-1].retry_at
+    while driver.conditions()['t2'] is TargetCondition.EJECTED:
+        driver.run_many(1)
+    assert driver.used == ['t2', 't2', 't2']
+    assert isinstance(driver.events[-1], TargetReadmitted)
+    # Its process was probably started anew.
+    assert driver.conditions()['t2'] is TargetCondition.COLD
+
+
+def test_flapping_is_answered_by_longer_and_longer_pauses() -> None:
+    driver = warm_driver()
+    driver.run_many(60, {'t2': RunOutcome.RESET})
+    for _ in range(5):
+        driver.now = ejected(driver)[-1].retry_at
+        driver.run_many(10)
+        driver.run_many(60, {'t2': RunOutcome.RESET})
+    pauses = [event.retry_at - event.happened_at for event in ejected(driver)]
+    assert len(pauses) >= 5
+    assert all(
+        later > 1.5 * sooner
+        for sooner, later in zip(pauses, pauses[1:], strict=False)
+    )
+
+
+def test_a_failed_trial_lengthens_the_pause() -> None:
+    driver = warm_driver()
+    sick = {'t2': RunOutcome.RESET}
+    driver.run_many(60, sick)
+    driver.now = ejected(driver)[0].retry_at
+    driver.used.clear()
+    driver.run_many(60, sick)
+    assert driver.used.count('t2') == 1
+
+
+def test_a_bad_probe_holds_back_the_trial_only_for_a_while() -> None:
+    driver = warm_driver()
+    driver.run_many(60, {'t2': RunOutcome.RESET})
+    driver.used.clear()
+    driver.now = ejected(driver)[0].retry_at - 0.4
+    assert driver.cell.probe_wanted(driver.now) == 't2'
+    assert driver.cell.probe_wanted(driver.now) is None
+    driver.cell.probe_result('t2', False, 0.02, driver.now)
+    driver.now += 0.5
+    driver.run_many(12)
+    assert 't2' not in driver.used
+    for _ in range(20):
+        driver.now += 0.5
+        if driver.cell.probe_wanted(driver.now):
+            driver.cell.probe_result('t2', False, 0.02, driver.now)
+        driver.run_many(1)
+    assert 't2' in driver.used
+
+
+def test_one_vm_that_cannot_reach_a_target_is_sent_elsewhere() -> None:
+    driver = warm_driver()
+    sick = {'t2': RunOutcome.CONNECT_FAILED}
+    lost = [run_of_one_vm(driver, turn, sick) for turn in range(300)]
+    assert not ejected(driver)
+    assert lost.count('t2') <= 10
+    blocked = [e for e in driver.events if isinstance(e, PathBlocked)]
+    assert blocked[0].target == 't2'
+    assert blocked[0].paths == ('vm0',)
+
+
+def run_of_one_vm(
+    driver: Driver,
+    turn: int,
+    sick: dict[str, RunOutcome],
+) -> str | None:
+    """Runs requests of all VMs, of which only vm0 sees the fault."""
+    for other in range(1, 6):
+        driver.run({}, vm=f'vm{other}', zone=ZONES[(other + turn) % 3])
+    return driver.run(sick, vm='vm0', zone='z0')
+
+
+def test_one_zone_that_cannot_reach_a_target_is_sent_elsewhere() -> None:
+    driver = warm_driver()
+    sick = {'t2': RunOutcome.STALLED}
+    lost = 0
+    for turn in range(600):
+        is_cut_off = turn % 3 == 0
+        target = driver.run(
+            sick if is_cut_off else {},
+            vm=f'vm{turn % 12}',
+            zone=ZONES[turn % 3],
+            latency=1 if is_cut_off else FAST,
+        )
+        lost += is_cut_off and target == 't2'
+    assert not ejected(driver)
+    assert lost <= 12
+
+
+def test_a_fault_seen_from_several_zones_ejects_the_target() -> None:
+    driver = warm_driver()
+    sick = {'t2': RunOutcome.CONNECT_FAILED}
+    for turn in range(120):
+        # Two of three zones are cut off.
+        is_cut_off = turn % 3 > 0
+        driver.run(
+            sick if is_cut_off else {},
+            vm=f'vm{turn % 12}',
+            zone=ZONES[turn % 3],
+        )
+    assert 't2' in {event.target for event in ejected(driver)}
+
+
+def test_a_vm_that_reaches_nothing_keeps_all_targets() -> None:
+    driver = warm_driver()
+    everything = {f't{n}': RunOutcome.CONNECT_FAILED for n in range(6)}
+    served = [run_of_one_vm(driver, turn, everything) for turn in range(80)]
+    assert not ejected(driver)
+    assert None not in served[-20:]
+
+
+def test_a_latency_step_puts_a_target_back_in_the_ramp() -> None:
+    driver = warm_driver()
+    driver.run_many(60, slow={'t2': 0.2})
+    cold = [e for e in driver.events if isinstance(e, ColdStartNoticed)]
+    assert [(e.target, e.cause) for e in cold] == [('t2', 'latency')]
+    assert not ejected(driver)
+
+
+def test_a_target_that_stays_slow_after_its_ramp_is_ejected() -> None:
+    driver = warm_driver()
+    driver.run_many(1500, slow={'t2': 0.2})
+    assert {event.target for event in ejected(driver)} == {'t2'}
+
+
+def test_a_new_boot_id_puts_a_target_back_in_the_ramp() -> None:
+    driver = warm_driver()
+    for _ in range(30):
+        driver.run({}, boot_id='one')
+    assert not driver.events
+    target = driver.run({}, boot_id='two')
+    assert [type(event) for event in driver.events] == [ColdStartNoticed]
+    driver.events.clear()
+    while driver.run({}, boot_id='one') != target:
+        # A late answer of the old process is no restart.
+        assert not driver.events
--- /dev/null
+++ b/tests/cover/traffic/test_token_windows.py
@@ -0,0 +1,170 @@
+"""A team never spends more than its rate and burst, whatever happens."""
+
+from random import Random
+from typing import Self
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from jacinthcroft_config import Team
+from jacinthcroft_decisions.internal.traffic import token_ledger
+from jacinthcroft_decisions.internal.traffic.token_bucket import TokenBucket
+from jacinthcroft_decisions.internal.traffic.token_terms import TokenTerms
+from jacinthcroft_decisions.traffic import (
+    SpentToken,
+    TeamLedger,
+    TokenAsk,
+    TokenPurse,
+)
+
+from tests.cover.traffic.builders import make_team
+
+LEASE = 3.0
+
+
+def assert_windows_hold(spent: list[float], team: Team) -> None:
+    times = sorted(spent)
+    for first, start in enumerate(times):
+        for count, end in enumerate(times[first:], start=1):
+            assert count <= team.burst + team.rate * (end - start) + 1e-6
+
+
+class TokenRun:
+    """One team's holder and two VMs on one clock, with slow messages."""
+
+    def __init__(self, team: Team) -> None:
+        """Starts with a full ledger and empty purses."""
+        self.now = 1000.0
+        self.team = team
+        self.ledger = TeamLedger.from_config(team, held_since=0)
+        self.purses = [TokenPurse(), TokenPurse()]
+        self.held: list[tuple[int, SpentToken]] = []
+        self.spent: list[float] = []
+
+    def step(self, random: Random) -> None:
+        vm = random.randrange(2)
+        match random.randrange(12):
+            case 0 | 1 | 2:
+                self.wait(random.choice((0.01, 0.3, 0.9)))
+            case 3 | 4 | 5:
+                self.gather(
+                    vm,
+                    wanted=random.choice((2, 50)),
+                    fate=random.choice(('fast', 'fast', 'slow', 'lost')),
+                )
+            case 6 | 7 | 8:
+                self.spend(random.choice((1, 200)))
+            case 9:
+                self.hold(vm)
+            case 10:
+                self.settle_held(is_used=random.choice((True, False)))
+            case _:
+                if not random.randrange(4):
+                    self.change_holder()
+
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+
+    def gather(self, vm: int, wanted: int, fate: str) -> None:
+        purse = self.purses[vm]
+        purse.note_demand(self.now)
+        built = purse.ask('team', f'vm{vm}', self.now)
+        unused = built.unused if built else ()
+        ask = TokenAsk('team', f'vm{vm}', wanted, wanted, unused)
+        asked_at = self.now
+        self.now += 0.002
+        lease_until = self.now + LEASE
+        grant = self.ledger.grant(ask, self.now, lease_until)
+        self.now += 0.2 if fate == 'slow' else 0
+        if fate != 'lost':
+            purse.add(grant, asked_at, self.now)
+
+    def spend(self, count: int) -> None:
+        for purse in self.purses:
+            for _ in range(count):
+                if purse.spend(self.now) is not None:
+                    self.spent.append(self.now)
+
+    def change_holder(self) -> None:
+        self.now += LEASE
+        self.ledger = TeamLedger.from_config(self.team, self.now)
+
+    def hold(self, vm: int) -> None:
+        token = self.purses[vm].spend(self.now)
+        if token is not None:
+            self.held.append((vm, token))
+
+    def settle_held(self, is_used: bool) -> None:
+        for vm, token in self.held:
+            if is_used and token.is_valid(self.now):
+                self.spent.append(self.now)
+            else:
+                self.purses[vm].return_token(token)
+        self.held.clear()
+
+
+TEAMS = st.builds(
+    make_team,
+    rate=st.sampled_from((0.5, 5, 40)),
+    burst=st.sampled_from((1, 2, 7, 40)),
+)
+
+
+# A drawn seed reaches far more interleavings than a drawn list of steps.
+@settings(derandomize=True, deadline=None, max_examples=300)
+@given(TEAMS, st.randoms(use_true_random=True))
+def check_windows(team: Team, random: Random) -> None:
+    run = TokenRun(team)
+    for _ in range(40):
+        run.step(random)
+    assert_windows_hold(run.spent, team)
+
+
+def test_no_window_is_ever_overspent() -> None:
+    check_windows()
+
+
+class NaiveTerms(TokenTerms):
+    """Broken: forgets that issued tokens are spent later."""
+
+    @classmethod
+    def from_config(cls, team: Team) -> Self:
+        return cls(capacity=team.burst, refill=team.rate, lifetime=1)
+
+
+def spend_after_a_late_return(bucket: TokenBucket) -> int:
+    """Returns how many tokens can be spent at one moment."""
+    capacity = bucket.available(10)
+    bucket.issue('expired', capacity, 10)
+    live = 0
+    for step, now in enumerate((10.5, 10.99)):
+        tokens = bucket.available(now)
+        bucket.issue(f'live {step}', tokens, now)
+        live += tokens
+    bucket.take_back('expired', capacity, 10.99)
+    return live + bucket.available(10.99)
+
+
+class RefundingBucket(TokenBucket):
+    """Broken: adds what is returned, whatever happened in between."""
+
+    def take_back(self, issue_id: str, tokens: int, now: float) -> int:
+        self._level = self.level(now) + tokens
+        return tokens
+
+
+def test_a_late_return_does_not_add_to_a_bucket_that_was_full() -> None:
+    team = make_team(rate=40, burst=40)
+    terms = TokenTerms.from_config(team)
+    exact = spend_after_a_late_return(TokenBucket(terms, 0))
+    broken = spend_after_a_late_return(RefundingBucket(terms, 0))
+    assert exact <= team.burst
+    assert broken > team.burst
+
+
+def test_the_windows_catch_a_bucket_without_room_for_lifetimes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(token_ledger, 'TokenTerms', NaiveTerms)
+    with pytest.raises(AssertionError):
+        check_windows()
