Test health, queue, ramps, handover and what VMs hold

Cause: suspects were never used while others were free, so their evidence faded before it sufficed; old good answers hid a fault from path blame; a late drain sign of a process that is gone closed its successor. Change: only targets kept for the floor come last; signs of a VM fade by count; blocked paths come back on probation; the cold start begins with the first answer. Ruled out: a score primed below its threshold (fades before the retry).

--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell_health.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell_health.py
@@ -32,6 +32,10 @@
         self._tell = tell
         self._ejection = Ejection(self.roster, tell)
 
+    def is_withheld(self, target: str) -> bool:
+        """Whether a sick target is kept only for the floor's sake."""
+        return self._ejection.is_withheld(target)
+
     def may_reach(self, target: str, vm: str, zone: str, now: float) -> bool:
         """Whether a VM's path to an active target is not at fault.
 
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell_target.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell_target.py
@@ -46,21 +46,16 @@
         """Whether the target asked for no new work."""
         return now < self._drained_until
 
-    def reconfigure(
-        self,
-        target: Target,
-        limits: TargetLimits,
-        now: float,
-    ) -> None:
+    def reconfigure(self, target: Target, limits: TargetLimits) -> None:
         """Takes over the file; another address is another process."""
         self.ramp.reconfigure(limits)
         if target.address != self._target.address:
-            self.turn_cold(now)
+            self.turn_cold()
         self._target = target
 
-    def turn_cold(self, now: float) -> None:
+    def turn_cold(self) -> None:
         """Begins the cold start again."""
-        self.ramp.turn_cold(now)
+        self.ramp.turn_cold()
         self.latencies.restart()
 
     def handover(self, now: float) -> TargetHandover:
@@ -85,6 +80,10 @@
         """Remembers that the target asked for no new work."""
         self._drained_until = now + DRAIN_MEMORY_SECONDS
 
+    def is_current(self, boot_id: str | None) -> bool:
+        """Whether an answer comes from the process that runs now."""
+        return boot_id is None or boot_id in self._boot_ids[-1:]
+
     def note_boot_id(self, boot_id: str) -> bool:
         """Remembers a boot id; returns whether the target restarted."""
         if boot_id in self._boot_ids:
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/ejection.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/ejection.py
@@ -25,6 +25,10 @@
         self._tell = tell
         self._withheld: set[str] = set()
 
+    def is_withheld(self, target: str) -> bool:
+        """Whether a sick target is kept only for the floor's sake."""
+        return target in self._withheld
+
     def eject_or_withhold(self, target: str, now: float) -> None:
         """Ejects a tripped target if the floor allows it."""
         if not self.may_eject():
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/evidence.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/evidence.py
@@ -35,6 +35,8 @@
 
     def value_at(self, now: float) -> float:
         """Returns the score, which fades when nothing new is seen."""
+        if not self._score:
+            return 0
         elapsed = max(0, now - self._scored_at)
         return self._score * math.pow(0.5, elapsed / SCORE_HALF_LIFE_SECONDS)
 
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/path_blame.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/path_blame.py
@@ -11,13 +11,12 @@
 from attrs import Factory, define, frozen
 
 from jacinthcroft_decisions.internal.traffic.backoff import Backoff
-from jacinthcroft_decisions.internal.traffic.evidence import (
-    TRIP_SCORE,
-    EvidenceScore,
-)
+from jacinthcroft_decisions.internal.traffic.evidence import EvidenceScore
 
 # Signs lose half of their weight in this time.
 SIGN_HALF_LIFE_SECONDS = 5.0
+_SIGN_MEMORY = 0.75
+_PROBATION_SIGNS = 3
 # A VM with less weight than this has not used the target lately.
 _MIN_WEIGHT = 0.25
 BLAMING_BAD_SHARE = 0.15
@@ -44,15 +43,23 @@
     good: float = 0
     bad: float = 0
     noted_at: float = 0
+    is_last_bad: bool = False
 
     def fade(self, now: float) -> None:
         """Lowers the weights to those of now."""
         elapsed = max(0, now - self.noted_at)
-        factor = math.pow(0.5, elapsed / SIGN_HALF_LIFE_SECONDS)
-        self.good *= factor
-        self.bad *= factor
+        self._scale(math.pow(0.5, elapsed / SIGN_HALF_LIFE_SECONDS))
         self.noted_at = max(now, self.noted_at)
 
+    def count(self, *, is_bad: bool) -> None:
+        """Counts one sign; older ones matter less with each."""
+        self._scale(_SIGN_MEMORY)
+        self.is_last_bad = is_bad
+        if is_bad:
+            self.bad += 1
+        else:
+            self.good += 1
+
     def is_reporting(self) -> bool:
         """Whether the VM used the target lately."""
         return self.good + self.bad >= _MIN_WEIGHT
@@ -63,14 +70,26 @@
             return False
         return self.bad >= BLAMING_BAD_SHARE * (self.bad + self.good)
 
+    def _scale(self, factor: float) -> None:
+        self.good *= factor
+        self.bad *= factor
+
 
 @define
 class _Block:
-    """A path that gets no permits until `until`."""
+    """A path that gets no permits until `until`, and then has to prove itself.
+
+    The first bad sign before `good_signs` are enough blocks it again.
+    """
 
     until: float = 0
+    good_signs: int = 0
     backoff: Backoff = Factory(Backoff)
 
+    def is_on_probation(self, now: float) -> bool:
+        """Whether the path is open again, and not yet trusted."""
+        return self.until <= now and self.good_signs < _PROBATION_SIGNS
+
 
 class PathBlame:
     """The paths to one target."""
@@ -84,13 +103,20 @@
 
     def is_blocked(self, vm: str, zone: str, now: float) -> bool:
         """Whether a VM gets no permits for the target."""
-        blocks = (self._blocked_vms.get(vm), self._blocked_zones.get(zone))
-        return any(block and now < block.until for block in blocks)
+        if not self._blocked_vms and not self._blocked_zones:
+            return False
+        return any(now < block.until for block in self._blocks(vm, zone))
 
     def has_tripped(self, vm: str, now: float) -> bool:
         """Whether one VM alone has evidence enough against the target."""
         signs = self._signs.get(vm)
-        return signs is not None and signs.score.is_tripped(now)
+        if signs is None:
+            return False
+        if signs.score.is_tripped(now):
+            return True
+        return signs.is_last_bad and any(
+            block.is_on_probation(now) for block in self._blocks(vm, signs.zone)
+        )
 
     def verdict(self, now: float) -> PathVerdict:
         """Judges by what all VMs saw lately.
@@ -103,9 +129,10 @@
         if 2 * len(blaming) > len(reporting):
             return PathVerdict(is_target=True)
         suspects = self._suspect_vms(reporting, now)
-        if _is_fine(reporting, suspects):
-            return PathVerdict(is_target=False, vms=frozenset(suspects))
         zone = _worst_zone(reporting)
+        is_zone_known = zone in self._blocked_zones
+        if _is_fine(reporting, suspects) and not is_zone_known:
+            return PathVerdict(is_target=False, vms=frozenset(suspects))
         in_zone = {vm for vm in reporting if reporting[vm].zone == zone}
         if _is_fine(reporting, in_zone):
             return PathVerdict(is_target=False, zones=frozenset((zone,)))
@@ -124,10 +151,10 @@
         signs = self._signs.setdefault(vm, _VmSigns(zone))
         signs.fade(now)
         signs.score.note(is_bad=is_bad, usual_share=usual_share, now=now)
-        if is_bad:
-            signs.bad += 1
-        else:
-            signs.good += 1
+        signs.count(is_bad=is_bad)
+        for block in self._blocks(vm, zone):
+            if not is_bad and block.until <= now:
+                block.good_signs += 1
 
     def block(self, verdict: PathVerdict, now: float) -> None:
         """Stops permits on the paths at fault, for longer each time."""
@@ -137,8 +164,7 @@
             self._prolong(self._blocked_zones, zone, now)
         for vm, signs in self._signs.items():
             if vm in verdict.vms or signs.zone in verdict.zones:
-                # The first bad sign after the pause blocks the path again.
-                signs.score.restart(TRIP_SCORE - 1, now)
+                signs.score.restart(0, now)
 
     def clear(self) -> None:
         """Forgets the signs: the target was ejected or readmitted."""
@@ -174,6 +200,10 @@
         tripped = {vm for vm in reporting if self.has_tripped(vm, now)}
         return tripped if worst is None else tripped | {worst}
 
+    def _blocks(self, vm: str, zone: str) -> list[_Block]:
+        blocks = (self._blocked_vms.get(vm), self._blocked_zones.get(zone))
+        return [block for block in blocks if block is not None]
+
     def _prolong(
         self,
         blocks: dict[str, _Block],
@@ -182,6 +212,7 @@
     ) -> None:
         block = blocks.setdefault(path, _Block())
         if block.until <= now:
+            block.good_signs = 0
             block.until = now + block.backoff.next_pause(now, self._random)
 
 
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/ramp.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/ramp.py
@@ -21,7 +21,7 @@
         self._limits = limits
         self._allowance = float(limits.cold_slots)
         self._evidence_seconds: float = 0
-        self._proved_until = now
+        self._proved_until: float | None = None
         self._paused_until = now
         self._is_cold = True
 
@@ -44,11 +44,11 @@
         self._limits = limits
         self._allowance = min(self._allowance, float(limits.slots))
 
-    def turn_cold(self, now: float) -> None:
+    def turn_cold(self) -> None:
         """Begins the cold start again."""
         self._is_cold = True
         self._evidence_seconds = 0
-        self._proved_until = now
+        self._proved_until = None
         self._allowance = float(self._limits.cold_slots)
 
     def set_warm(self) -> None:
@@ -61,10 +61,8 @@
         if not self._is_cold:
             self._grow()
             return
-        longest = max(EVIDENCE_GAP_SECONDS, latency)
-        proved = min(longest, max(0, now - self._proved_until))
-        self._evidence_seconds += proved
-        self._proved_until = max(self._proved_until, now)
+        self._evidence_seconds += self._newly_proved(latency, now)
+        self._proved_until = now
         if self._evidence_seconds >= self._limits.cold_start_seconds:
             self._is_cold = False
             self._allowance = max(self._allowance, 1.0)
@@ -74,6 +72,13 @@
         self._allowance = max(1.0, self._allowance * _SHED_FACTOR)
         self._paused_until = now + SHED_PAUSE_SECONDS
 
+    def _newly_proved(self, latency: float, now: float) -> float:
+        """How long a stretch an answer at `now` proves, in seconds."""
+        if self._proved_until is None:
+            return latency
+        longest = max(EVIDENCE_GAP_SECONDS, latency)
+        return min(longest, max(0, now - self._proved_until))
+
     def _grow(self) -> None:
         grown = self._allowance + 1 / max(1.0, self._allowance)
         self._allowance = min(float(self._limits.slots), grown)
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/target_choice.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/target_choice.py
@@ -1,8 +1,9 @@
 """Chooses the target for an ask.
 
 Targets on trial come first, since they get one request at a time and must
-be tried to return; suspects come last. Otherwise the least loaded target is
-taken, then one in the asker's zone, then any.
+be tried to return; those kept only for the floor's sake come last. Mere
+suspects get their share, or else nothing more would be learnt of them.
+Otherwise the least loaded target is taken, then one in the asker's zone.
 """
 
 from random import Random
@@ -26,15 +27,8 @@
     target: str
 
 
-@frozen(order=True)
-class _Preference:
-    """Orders fitting targets; the smallest is taken."""
-
-    is_untried: bool
-    is_suspect: bool
-    load: float
-    is_other_zone: bool
-    tie_breaker: float
+# Untried before others, withheld last, by load, own zone first, by chance.
+_Preference = tuple[bool, bool, float, bool, float]
 
 
 class TargetChoice:
@@ -60,30 +54,29 @@
 
     def choose(self, ask: PermitAsk, now: float) -> str | None:
         """Returns the target for an ask, if any has room."""
-        preferences = {
-            name: self._preference(name, ask, now)
-            for name in self._pool.targets
-            if self._is_fitting(name, ask, now)
-        }
+        preferences: dict[str, _Preference] = {}
+        for name in self._pool.targets:
+            allowed = self._pool.allowed(name, now)
+            running = self._pool.targets[name].slots.running
+            if running >= allowed:
+                continue
+            if self._pool.health.may_reach(name, ask.vm, ask.zone, now):
+                load = running / allowed
+                preferences[name] = self._preference(name, ask, load)
         return min(preferences, key=preferences.__getitem__, default=None)
 
-    def _is_fitting(self, name: str, ask: PermitAsk, now: float) -> bool:
-        if not self._pool.has_slot(name, now):
-            return False
-        return self._pool.health.may_reach(name, ask.vm, ask.zone, now)
-
     def _preference(
         self,
         name: str,
         ask: PermitAsk,
-        now: float,
+        load: float,
     ) -> _Preference:
         health = self._pool.health.roster[name]
-        known = self._pool.targets[name]
-        return _Preference(
-            is_untried=health.standing is not Standing.TRIAL,
-            is_suspect=health.scores.is_suspect(now),
-            load=known.slots.running / self._pool.allowed(name, now),
-            is_other_zone=known.target.zone != ask.zone,
-            tie_breaker=self._random.random(),
+        target = self._pool.targets[name].target
+        return (
+            health.standing is not Standing.TRIAL,
+            self._pool.health.is_withheld(name),
+            load,
+            target.zone != ask.zone,
+            self._random.random(),
         )
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/target_pool.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/target_pool.py
@@ -98,16 +98,16 @@
             if known is None:
                 self.targets[name] = CellTarget(target, service.limits, now)
             else:
-                known.reconfigure(target, service.limits, now)
+                known.reconfigure(target, service.limits)
         self._sync_health(now)
 
     def note_signs(self, report: PermitReport, now: float) -> None:
         """Takes in what an answer says of the target's process."""
         known = self.targets[report.target]
         if report.boot_id is not None and known.note_boot_id(report.boot_id):
-            known.turn_cold(now)
+            known.turn_cold()
             self._tell(ColdStartNoticed(report.target, 'restart', now))
-        if report.is_draining:
+        if report.is_draining and known.is_current(report.boot_id):
             known.note_drain(now)
             self._sync_health(now)
 
@@ -163,7 +163,7 @@
             return
         is_step = known.latencies.has_stepped_up
         if is_step and health.paths.verdict(now).is_target:
-            known.turn_cold(now)
+            known.turn_cold()
             # It stays suspect, so that others are preferred for a while.
             health.scores.restart(('slowness',), SUSPECT_SCORE, now)
             self._tell(ColdStartNoticed(name, 'latency', now))
@@ -183,7 +183,7 @@
         active = {name for name in self._listed if self.is_open(name, now)}
         for name in active.difference(self.health.roster):
             # Whatever happened meanwhile, it may have been started anew.
-            self.targets[name].turn_cold(now)
+            self.targets[name].turn_cold()
         self.health.reconfigure(self._listed, active, self._floor, now)
 
     def _tell(self, event: CellEvent) -> None:
@@ -191,4 +191,4 @@
         if not isinstance(event, TargetEjected):
             return
         if _RESTART_SIGNS.intersection(event.reasons):
-            self.targets[event.target].turn_cold(event.happened_at)
+            self.targets[event.target].turn_cold()
--- /dev/null
+++ b/tests/cover/traffic/test_cell_rules.py
@@ -0,0 +1,188 @@
+"""Grants, renewals, cold starts and handovers of a cell."""
+
+from random import Random
+
+import pytest
+from jacinthcroft_decisions.internal.traffic.ramp import Ramp
+from jacinthcroft_decisions.traffic import (
+    Cell,
+    Granted,
+    PermitRenewal,
+    PermitReport,
+    RunOutcome,
+    TargetCondition,
+)
+
+from tests.cover.traffic.builders import (
+    LONGEST_RUN,
+    OPEN_FROM,
+    make_ask,
+    make_service,
+)
+
+
+def make_cell(targets: int = 1) -> Cell:
+    service = make_service(targets=targets, cold_start_seconds=1)
+    return Cell.from_config(service, 0, 'inc', Random(1))
+
+
+def grant_one(cell: Cell, now: float, lease: float = 3) -> Granted:
+    cell.ask(make_ask(), now)
+    return cell.grants(now, now + lease)[0]
+
+
+def report_on(
+    granted: Granted,
+    outcome: RunOutcome = RunOutcome.ANSWERED,
+    is_returned: bool = True,
+    is_draining: bool = False,
+    run_number: int = 0,
+    boot_id: str | None = None,
+) -> PermitReport:
+    return PermitReport(
+        permit_id=granted.permit.id,
+        cell=granted.permit.cell,
+        vm='vm0',
+        target=granted.permit.target,
+        outcome=outcome,
+        latency=0.01,
+        is_returned=is_returned,
+        boot_id=boot_id,
+        is_draining=is_draining,
+        run_number=run_number,
+    )
+
+
+def test_a_new_holder_waits_for_the_runs_of_its_predecessor() -> None:
+    cell = make_cell()
+    cell.ask(make_ask(patience=9), now=0)
+    assert not cell.grants(LONGEST_RUN, LONGEST_RUN + 3)
+    assert len(cell.grants(OPEN_FROM, OPEN_FROM + 3)) == 1
+
+
+def test_a_permit_lives_no_longer_than_the_lease() -> None:
+    granted = grant_one(make_cell(), OPEN_FROM, lease=0.25)
+    assert granted.permit.start_within == pytest.approx(0.25)
+    assert not make_cell().grants(OPEN_FROM, OPEN_FROM)
+
+
+def test_time_spent_in_the_queue_does_not_shorten_a_permit() -> None:
+    cell = make_cell()
+    cell.ask(make_ask(patience=5), OPEN_FROM)
+    granted = cell.grants(OPEN_FROM + 2, OPEN_FROM + 5)[0]
+    assert round(granted.permit.start_within, 6) == 3
+
+
+def test_an_unreturned_permit_takes_its_slot_until_its_run_must_be_over() -> (
+    None
+):
+    cell = make_cell()
+    grant_one(cell, OPEN_FROM)
+    cell.ask(make_ask(patience=9), OPEN_FROM)
+    assert not cell.grants(OPEN_FROM + 1 + LONGEST_RUN, OPEN_FROM + 9)
+    assert cell.grants(OPEN_FROM + 1.1 + LONGEST_RUN, OPEN_FROM + 9)
+
+
+def test_a_kept_permit_is_renewed_while_nobody_waits() -> None:
+    cell = make_cell()
+    granted = grant_one(cell, OPEN_FROM)
+    report = report_on(granted, is_returned=False)
+    renewal = cell.report(report, OPEN_FROM + 0.5)
+    assert renewal == PermitRenewal(granted.permit.id, 1)
+    cell.ask(make_ask(team='another'), OPEN_FROM + 0.6)
+    assert cell.report(report, OPEN_FROM + 0.6) is None
+
+
+def test_a_returned_permit_is_not_renewed_by_a_late_report() -> None:
+    cell = make_cell()
+    granted = grant_one(cell, OPEN_FROM)
+    assert cell.report(report_on(granted), OPEN_FROM + 0.1) is None
+    late = report_on(granted, is_returned=False)
+    assert cell.report(late, OPEN_FROM + 0.2) is None
+
+
+def test_a_draining_target_gets_nothing_new() -> None:
+    cell = make_cell()
+    granted = grant_one(cell, OPEN_FROM)
+    cell.report(report_on(granted, is_draining=True), OPEN_FROM)
+    cell.ask(make_ask(), OPEN_FROM)
+    assert not cell.grants(OPEN_FROM, OPEN_FROM + 3)
+    assert cell.health_view(OPEN_FROM)[0].state is TargetCondition.LEAVING
+
+
+def test_a_drain_sign_of_a_process_that_is_gone_is_ignored() -> None:
+    cell = make_cell()
+    granted = grant_one(cell, OPEN_FROM)
+    for boot_id in ('old', 'new'):
+        cell.report(report_on(granted, boot_id=boot_id), OPEN_FROM)
+    late = report_on(granted, is_draining=True, boot_id='old')
+    cell.report(late, OPEN_FROM)
+    assert cell.health_view(OPEN_FROM)[0].state is TargetCondition.COLD
+
+
+def test_a_cold_target_becomes_warm_by_answers_over_its_cold_start() -> None:
+    cell = make_cell()
+    now = OPEN_FROM
+    for _ in range(9):
+        cell.report(report_on(grant_one(cell, now)), now)
+        assert cell.health_view(now)[0].allowed == 1
+        now += 0.1
+    for _ in range(5):
+        cell.report(report_on(grant_one(cell, now)), now)
+        now += 0.1
+    view = cell.health_view(now)[0]
+    assert (view.state, view.allowed) == (TargetCondition.HEALTHY, 2)
+
+
+def test_a_doubled_report_proves_no_more_than_one() -> None:
+    cell = make_cell()
+    granted = grant_one(cell, OPEN_FROM)
+    for step in range(40):
+        report = report_on(granted, is_returned=False, run_number=1)
+        cell.report(report, OPEN_FROM + step * 0.1)
+    assert cell.health_view(OPEN_FROM + 4)[0].state is TargetCondition.COLD
+
+
+def test_shed_load_lowers_the_allowance_until_answers_raise_it() -> None:
+    limits = make_service(slots=8).limits
+    ramp = Ramp(limits, now=0)
+    ramp.set_warm()
+    ramp.note_shed(now=1)
+    assert ramp.allowed(1) == 0
+    assert ramp.allowed(1.2) == 4
+    for _ in range(60):
+        ramp.note_answer(0.01, now=2)
+    assert ramp.allowed(2) == 8
+
+
+def test_a_handover_spares_the_wait_and_keeps_slots_and_warmth() -> None:
+    old = make_cell()
+    now = OPEN_FROM
+    for _ in range(20):
+        old.report(report_on(grant_one(old, now)), now)
+        now += 0.1
+    held = grant_one(old, now)
+    handover = old.hand_over(now)
+    old.ask(make_ask(), now)
+    assert not old.grants(now, now + 3)
+    new = Cell.from_config(
+        make_service(targets=1),
+        now,
+        'next',
+        Random(2),
+        handover=handover,
+    )
+    assert grant_one(new, now).permit.id != held.permit.id
+    new.ask(make_ask(), now)
+    assert not new.grants(now, now + 3)
+    new.report(report_on(held), now)
+    assert len(new.grants(now, now + 3)) == 1
+
+
+def test_the_own_zone_is_preferred_among_equally_loaded_targets() -> None:
+    cell = make_cell(targets=3)
+    for zone, target in (('z2', 't2'), ('z1', 't1'), ('z0', 't0')):
+        cell.ask(make_ask(zone=zone), OPEN_FROM)
+        granted = cell.grants(OPEN_FROM, OPEN_FROM + 3)[0]
+        assert granted.permit.target == target
+        cell.report(report_on(granted), OPEN_FROM)
