Simulate the coordination under faults, and break it on purpose

Cause: safety under loss, copies, delays, pauses, restarts and differing lists was only argued. Change: a small simulator, a seeded driver, a state machine, scripted faults, and variants with one safeguard out. Ruled out: one script for leases under lost abstention; fences and lease waits cover it as well.

--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/coordinator.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/coordinator.py
@@ -84,7 +84,7 @@
         self._farewells = ()
         if self._question is None or self._is_leaving:
             return tuple(due)
-        is_complete = self._question.is_complete(self._history)
+        is_complete = self._question.is_complete(self._history, now)
         for candidacy in self._candidacies.values():
             due.extend(candidacy.requests(self._history, is_complete, now))
         standing = self._candidacies.values()
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/shard_memory.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/shard_memory.py
@@ -59,6 +59,11 @@
         """
         self.fences.add(revision)
 
+    def note_whole(self, revision: int, limit: int) -> None:
+        """Notes that nothing is lost of a list; keeps the newest ones."""
+        self.whole_at.add(revision)
+        self.whole_at = set(sorted(self.whole_at)[-limit:])
+
     def install(self, request: InstallRequest, vouch_from: float) -> None:
         """Starts to answer for a revision with what its driver gathered."""
         self._take(request.revision, vouch_from, request.records)
@@ -81,5 +86,4 @@
         self.installed = revision
         self.vouch_from = vouch_from
         self.fences = {known for known in self.fences if known >= revision}
-        self.whole_at = {known for known in self.whole_at if known >= revision}
         self.fences.add(revision)
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness.py
@@ -145,7 +145,7 @@
         if views and not is_served and not memory.is_stale(read_back.revision):
             vouch_from = read_back.vouch_from(state.start_wall_limit)
             memory.restore(read_back.revision, vouch_from, views)
-        memory.whole_at.add(read_back.revision)
+        memory.note_whole(read_back.revision, state.terms.history_limit)
         state.read_backs.pop((read_back.shard, read_back.revision))
 
     def _drop_old_read_backs(self) -> None:
--- /dev/null
+++ b/tests/cover/coordination/broken_variants.py
@@ -0,0 +1,103 @@
+"""Variants of the decisions, each with one safeguard taken out.
+
+The simulation must catch every one of them; else it would prove nothing.
+"""
+
+from attrs import define
+from jacinthcroft_decisions.coordination import (
+    Claim,
+    ClaimGranted,
+    ClaimVerdict,
+    CoordinationReply,
+    CoordinationRequest,
+    CoordinationTerms,
+    Coordinator,
+    FenceRequest,
+    Witness,
+)
+
+from tests.cover.coordination.shard_simulation import Variant
+
+_LONG_AGO = 10_000
+
+
+class UnfencedWitness(Witness):
+    """Tells drivers what it knows, and goes on as before."""
+
+    def handle(
+        self,
+        message: CoordinationRequest,
+        now: float,
+        wall: float,
+    ) -> CoordinationReply:
+        fences = self._state.memory(message.shard).fences
+        known = frozenset(fences)
+        reply = super().handle(message, now, wall)
+        if isinstance(message, FenceRequest):
+            fences.intersection_update(known)
+        return reply
+
+
+def make_unabstaining(
+    vm: str,
+    incarnation: str,
+    started_at: float,
+    started_wall: float,
+    terms: CoordinationTerms,
+) -> Witness:
+    """A restarted witness that takes itself for a long-running one."""
+    return Witness(
+        vm,
+        incarnation,
+        started_at - _LONG_AGO,
+        started_wall - _LONG_AGO,
+        terms,
+    )
+
+
+def make_overconfident(
+    vm: str,
+    incarnation: str,
+    started_at: float,
+    started_wall: float,
+    terms: CoordinationTerms,
+) -> Witness:
+    """A restarted witness that vouches for keys made before its start."""
+    return Witness(
+        vm,
+        incarnation,
+        started_at,
+        started_wall - _LONG_AGO,
+        terms,
+    )
+
+
+class MinorityCoordinator(Coordinator):
+    """Holds a shard by the vote of any one witness."""
+
+    def holds(self, shard: int, now: float) -> bool:
+        candidacy = self._candidacies.get(shard)
+        if candidacy is None:
+            return False
+        votes = candidacy.hold._acks.values()
+        return now < max(votes, default=-_LONG_AGO) + self.terms.holder_term
+
+
+@define
+class MinorityClaim(Claim):
+    """Takes two votes of five for a grant."""
+
+    def verdict(self, now: float) -> ClaimVerdict | None:
+        votes = [vote.outcome.value for vote in self._votes.values()]
+        if self._verdict is None and votes.count('done') > 1:
+            self._verdict = ClaimGranted()
+        return super().verdict(now)
+
+
+BROKEN = {
+    'no fence': Variant(witness=UnfencedWitness),
+    'no abstention': Variant(witness=make_unabstaining),
+    'no vouching': Variant(witness=make_overconfident),
+    'no lease majority': Variant(coordinator=MinorityCoordinator),
+    'no claim majority': Variant(claim=MinorityClaim.start),
+}
