Fences name their witnesses; VMs that are gone block no list

Cause: a fence for a list that nobody has any more blocked its shard for good, and so did the loss of most witnesses at once. Change: fences carry the witnesses of their list; VMs off the list for longer than records are kept are done without, and keys up to then are not vouched for; a cold start asks all VMs, or a majority for one abstention.

--- a/packages/decisions/src/jacinthcroft_decisions/coordination.py
+++ b/packages/decisions/src/jacinthcroft_decisions/coordination.py
@@ -65,6 +65,9 @@
     CoordinationTerms,
 )
 from jacinthcroft_decisions.internal.coordination.witness import Witness
+from jacinthcroft_decisions.internal.coordination.witness_sets import (
+    WitnessSet,
+)
 
 __all__ = (
     'Claim',
@@ -114,4 +117,5 @@
     'RecordedAnswer',
     'CoordinationTerms',
     'Witness',
+    'WitnessSet',
 )
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/activation.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/activation.py
@@ -26,13 +26,16 @@
 from jacinthcroft_decisions.internal.coordination.records import merge_records
 from jacinthcroft_decisions.internal.coordination.survey import (
     FencesNeeded,
-    ListsNeeded,
     NoneInstalled,
     PredecessorFound,
     survey,
 )
 from jacinthcroft_decisions.internal.coordination.terms import (
     CoordinationTerms,
+    majority_of,
+)
+from jacinthcroft_decisions.internal.coordination.witness_sets import (
+    WitnessSet,
 )
 
 _NEVER = float('-inf')
@@ -62,6 +65,10 @@
     def _witnesses(self) -> tuple[str, ...]:
         return self.placement.witnesses(self.shard)
 
+    @property
+    def _is_in_force(self) -> bool:
+        return len(self._installed) >= majority_of(len(self._witnesses))
+
     def requests(
         self,
         history: PlacementHistory,
@@ -69,18 +76,18 @@
         now: float,
     ) -> tuple[Outgoing, ...]:
         """Returns the next step's requests, as far as they are due."""
+        gone = history.gone(now)
+        for running in self._rounds.values():
+            running.count_gone(gone)
         fenced = {
             revision: known.views
             for revision, known in self._rounds.items()
             if known.is_complete
         }
-        result = survey(self.shard, self.placement.revision, history, fenced)
+        result = survey(self._earlier_sets(history, now), fenced)
         self.needs_history = isinstance(result, NoneInstalled)
         if isinstance(result, FencesNeeded):
-            return self._fences(result.placement, now)
-        if isinstance(result, ListsNeeded):
-            history.hear(result.revisions)
-            return ()
+            return self._fences(result.earlier, now)
         if self.needs_history and not is_history_complete:
             return ()
         return self._last_steps(result, now)
@@ -110,12 +117,38 @@
         if reply.outcome is Outcome.DONE:
             self._installed.add(sender)
 
-    def _fences(self, earlier: Placement, now: float) -> tuple[Outgoing, ...]:
+    def _earlier_sets(
+        self,
+        history: PlacementHistory,
+        now: float,
+    ) -> list[WitnessSet]:
+        """Returns all earlier lists' witnesses, the newest list first."""
+        revision = self.placement.revision
+        known = {
+            placement.revision: WitnessSet.from_placement(
+                placement,
+                self.shard,
+            )
+            for placement in history.earlier(revision)
+        }
+        for fence_round in self._rounds.values():
+            for view in fence_round.views:
+                known.update((fence.revision, fence) for fence in view.fences)
+        earlier = [
+            witnesses
+            for witnesses in known.values()
+            if witnesses.revision < revision and witnesses.vms
+        ]
+        for listed in earlier:
+            history.watch(listed.vms, now)
+        return sorted(earlier, reverse=True)
+
+    def _fences(self, earlier: WitnessSet, now: float) -> tuple[Outgoing, ...]:
         fence_round = self._rounds.get(earlier.revision)
         if fence_round is None:
             fence_round = FenceRound(
                 self.shard,
-                self.placement.revision,
+                WitnessSet.from_placement(self.placement, self.shard),
                 earlier,
                 self.terms,
             )
@@ -128,7 +161,10 @@
         now: float,
     ) -> tuple[Outgoing, ...]:
         """Waits for the leases' end, then installs."""
-        if now - self._repeated_at < self.terms.renew_interval:
+        interval = self.terms.renew_interval
+        if self._is_in_force:
+            interval = self.terms.lease_term
+        if now - self._repeated_at < interval:
             return ()
         self._repeated_at = now
         blocking = tuple(
@@ -143,13 +179,19 @@
         self,
         found: NoneInstalled | PredecessorFound,
     ) -> tuple[Outgoing, ...]:
+        vouch_from: float = 0
+        is_cold = True
+        if isinstance(found, PredecessorFound):
+            vouch_from = found.vouch_from
+            is_cold = found.is_cold
         message = InstallRequest(
             shard=self.shard,
             revision=self.placement.revision,
+            witnesses=self._witnesses,
             driver=self.vm,
             incarnation=self.incarnation,
-            vouch_from=found.vouch_from,
-            is_cold=isinstance(found, NoneInstalled),
+            vouch_from=vouch_from,
+            is_cold=is_cold,
             records=merge_records(
                 view.records
                 for known in self._rounds.values()
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/coordinator.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/coordinator.py
@@ -56,7 +56,7 @@
 
     def adopt(self, placement: Placement, now: float) -> None:
         """Takes a newer list; an older one only joins the history."""
-        self._history.add(placement)
+        self._history.add(placement, now)
         if placement.revision <= self._revision():
             return
         self._question = HistoryQuestion(placement, self.terms)
@@ -72,7 +72,7 @@
     ) -> None:
         """Takes earlier lists that peers have passed on."""
         for placement in placements:
-            self._history.add(placement)
+            self._history.add(placement, now)
 
     def tick(self, now: float) -> tuple[Outgoing, ...]:
         """Returns the requests that are due.
@@ -101,7 +101,8 @@
         now: float,
     ) -> None:
         """Takes the reply to a request of `tick` that left at `sent_at`."""
-        self._history.hear((reply.newest,))
+        if reply.newest > self._revision():
+            self._history.hear((reply.newest,))
         if self._question is None or reply.revision != self._revision():
             return
         if isinstance(reply, HistoryReply):
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/fence_round.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/fence_round.py
@@ -17,11 +17,13 @@
     Outcome,
     ShardView,
 )
-from jacinthcroft_decisions.internal.coordination.placement import Placement
 from jacinthcroft_decisions.internal.coordination.terms import (
     CoordinationTerms,
     majority_of,
 )
+from jacinthcroft_decisions.internal.coordination.witness_sets import (
+    WitnessSet,
+)
 
 
 @define
@@ -29,11 +31,12 @@
     """The fences of one earlier list at one new revision."""
 
     shard: int
-    revision: int
-    earlier: Placement
+    current: WitnessSet
+    earlier: WitnessSet
     terms: CoordinationTerms
     _started_at: float = field(default=float('-inf'), init=False)
     _views: dict[str, ShardView] = field(factory=dict, init=False)
+    _is_complete: bool = field(default=False, init=False)
 
     @property
     def views(self) -> tuple[ShardView, ...]:
@@ -43,11 +46,16 @@
     @property
     def is_complete(self) -> bool:
         """Whether a majority was fenced within one round."""
-        return len(self._views) >= majority_of(len(self._witnesses))
+        return self._is_complete
 
-    @property
-    def _witnesses(self) -> tuple[str, ...]:
-        return self.earlier.witnesses(self.shard)
+    def count_gone(self, gone: frozenset[str]) -> None:
+        """Does without witnesses that are gone, once all others are fenced.
+
+        A majority of the others may not be left, so each of them has to tell
+        which lists it was fenced for.
+        """
+        if gone.union(self._views).issuperset(self.earlier.vms):
+            self._is_complete = True
 
     def requests(self, now: float) -> tuple[Outgoing, ...]:
         """Returns a new round's requests when the last one has failed."""
@@ -56,15 +64,15 @@
             return ()
         self._started_at = now
         self._views.clear()
-        return self.repeat(self._witnesses)
+        return self.repeat(self.earlier.vms)
 
     def repeat(self, witnesses: tuple[str, ...]) -> tuple[Outgoing, ...]:
         """Returns the question to some witnesses again."""
         message = FenceRequest(
             self.shard,
-            self.revision,
-            self.earlier.revision,
-            self._witnesses,
+            self.current.revision,
+            self.current.vms,
+            self.earlier,
         )
         return tuple(Outgoing(vm, message) for vm in witnesses)
 
@@ -76,10 +84,12 @@
         now: float,
     ) -> None:
         """Counts a witness that was fenced in this round."""
-        if self.is_complete or sender not in self._witnesses:
+        if self.is_complete or sender not in self.earlier.vms:
             return
         is_late = now - self._started_at > self.terms.claim_timeout
         if is_late or sent_at < self._started_at:
             return
         if reply.outcome is Outcome.DONE and reply.view is not None:
             self._views[sender] = reply.view
+            majority = majority_of(len(self.earlier.vms))
+            self._is_complete = len(self._views) >= majority
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/history.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/history.py
@@ -1,4 +1,4 @@
-"""The list revisions that a VM knows, and those it has only heard of."""
+"""The lists that a VM knows, those it has heard of, and who left them."""
 
 from collections.abc import Iterable
 
@@ -17,18 +17,45 @@
     terms: CoordinationTerms
     _placements: dict[int, Placement] = field(factory=dict, init=False)
     _heard: set[int] = field(factory=set, init=False)
+    _absent_since: dict[str, float] = field(factory=dict, init=False)
 
     @property
     def missing(self) -> tuple[int, ...]:
         """Revisions that others named and this VM has no list of."""
         return tuple(sorted(self._heard))
 
-    def add(self, placement: Placement) -> None:
+    def add(self, placement: Placement, now: float) -> None:
         """Keeps a placement, dropping the oldest beyond the limit."""
         self._placements[placement.revision] = placement
         self._heard.discard(placement.revision)
         while len(self._placements) > self.terms.history_limit:
             self._placements.pop(min(self._placements))
+        self.watch(placement.members, now)
+        newest = self._placements[max(self._placements)]
+        for vm in newest.members:
+            self._absent_since.pop(vm, None)
+
+    def watch(self, vms: Iterable[str], now: float) -> None:
+        """Notes since when VMs are absent from the newest list."""
+        newest = self._placements[max(self._placements)]
+        for vm in vms:
+            if vm not in newest.members:
+                self._absent_since.setdefault(vm, now)
+        for known in self._placements.values():
+            for vm in set(known.members).difference(newest.members):
+                self._absent_since.setdefault(vm, now)
+
+    def gone(self, now: float) -> frozenset[str]:
+        """Returns the VMs that have been absent from the list for long.
+
+        Whatever they remember, no key that they know of is accepted any
+        more, and the platform has stopped them.
+        """
+        return frozenset(
+            vm
+            for vm, absent_since in self._absent_since.items()
+            if now - absent_since >= self.terms.record_retention
+        )
 
     def hear(self, revisions: Iterable[int]) -> None:
         """Notes revisions that others named."""
@@ -46,10 +73,6 @@
             self._placements[number] for number in known if number < revision
         )
 
-    def unknown(self, revisions: Iterable[int]) -> frozenset[int]:
-        """Returns those of the revisions that this VM has no list of."""
-        return frozenset(revisions).difference(self._placements)
-
     def _is_known(self, revision: int, oldest: int) -> bool:
         is_dropped = len(self._placements) >= self.terms.history_limit
         return revision in self._placements or (
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/messages.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/messages.py
@@ -15,6 +15,9 @@
     ClaimRecord,
     RecordedAnswer,
 )
+from jacinthcroft_decisions.internal.coordination.witness_sets import (
+    WitnessSet,
+)
 
 
 class Outcome(enum.Enum):
@@ -60,14 +63,14 @@
 class ShardView:
     """All that a witness knows of a shard.
 
-    `fences` are the revisions it was fenced at, `installed` the revision it
+    `fences` are the lists it was fenced for, `installed` the revision it
     last answered for (0 for none), `vouch_from` the key time in unix seconds
     up to which records may be missing. `whole_at` names the list revisions
     for which an earlier incarnation's memory was read back; `is_whole` says
     that the witness is up so long that it need not be.
     """
 
-    fences: tuple[int, ...]
+    fences: tuple[WitnessSet, ...]
     installed: int
     vouch_from: float
     lease: LeaseView | None
@@ -85,14 +88,15 @@
 class FenceRequest:
     """Asks a witness of an earlier list to serve nothing below `revision`.
 
-    `witnesses` are those of the earlier list, for a witness that has not
-    met that list in its lifetime and has to read back what it may have lost.
+    `witnesses` are those of the new revision, for drivers that never meet
+    its list. `earlier` is for a witness that has not met the earlier list in
+    its lifetime and has to read back what it may have lost.
     """
 
     shard: int
     revision: int
-    earlier: int
     witnesses: tuple[str, ...]
+    earlier: WitnessSet
 
 
 @message_kind('fence-reply')
@@ -114,11 +118,12 @@
     """Asks a witness of `revision` to serve it from now on.
 
     An installed witness also keeps a lease for the driver. `is_cold` says
-    that no earlier list is known: keys up to now are not vouched for.
+    that earlier records may be lost: keys up to now are not vouched for.
     """
 
     shard: int
     revision: int
+    witnesses: tuple[str, ...]
     driver: str
     incarnation: str
     vouch_from: float
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/shard_memory.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/shard_memory.py
@@ -17,6 +17,9 @@
     ClaimRecord,
     merge_records,
 )
+from jacinthcroft_decisions.internal.coordination.witness_sets import (
+    WitnessSet,
+)
 
 
 @define
@@ -24,7 +27,7 @@
     """Fences, installation, lease and records of one shard."""
 
     vouch_from: float
-    fences: set[int] = field(factory=set)
+    fences: dict[int, WitnessSet] = field(factory=dict)
     installed: int = 0
     whole_at: set[int] = field(factory=set)
     lease: WitnessedLease = field(factory=WitnessedLease)
@@ -38,7 +41,7 @@
     def view(self, now: float, is_whole: bool) -> ShardView:
         """Returns all of it, for drivers and restarted witnesses."""
         return ShardView(
-            fences=tuple(sorted(self.fences)),
+            fences=tuple(sorted(self.fences.values())),
             installed=self.installed,
             vouch_from=self.vouch_from,
             lease=self.lease.view(now),
@@ -51,13 +54,13 @@
         """Whether the shard is fenced above the revision."""
         return revision < self.newest
 
-    def fence(self, revision: int) -> None:
+    def fence(self, witnesses: WitnessSet) -> None:
         """Refuses every lower revision from now on.
 
         All fences above the installed revision are kept: each may be the
         trace of a list that a later driver has never met.
         """
-        self.fences.add(revision)
+        self.fences[witnesses.revision] = witnesses
 
     def note_whole(self, revision: int, limit: int) -> None:
         """Notes that nothing is lost of a list; keeps the newest ones."""
@@ -66,24 +69,32 @@
 
     def install(self, request: InstallRequest, vouch_from: float) -> None:
         """Starts to answer for a revision with what its driver gathered."""
-        self._take(request.revision, vouch_from, request.records)
+        witnesses = WitnessSet(request.revision, request.witnesses)
+        self._take(witnesses, vouch_from, request.records)
 
     def restore(
-        self, revision: int, vouch_from: float, views: tuple[ShardView, ...]
+        self,
+        witnesses: WitnessSet,
+        vouch_from: float,
+        views: tuple[ShardView, ...],
     ) -> None:
         """Goes on answering for a revision after a restart."""
         copies = (view.records for view in views)
-        self._take(revision, vouch_from, merge_records(copies))
+        self._take(witnesses, vouch_from, merge_records(copies))
 
     def _take(
         self,
-        revision: int,
+        witnesses: WitnessSet,
         vouch_from: float,
         records: tuple[ClaimRecord, ...],
     ) -> None:
         merged = merge_records((self.records.values(), records))
         self.records = {record.key: record for record in merged}
-        self.installed = revision
+        self.installed = witnesses.revision
         self.vouch_from = vouch_from
-        self.fences = {known for known in self.fences if known >= revision}
-        self.fences.add(revision)
+        self.fence(witnesses)
+        self.fences = {
+            revision: fence
+            for revision, fence in self.fences.items()
+            if revision >= self.installed
+        }
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/survey.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/survey.py
@@ -6,104 +6,81 @@
 the installed witness holds what the lists below knew. If none of them is,
 the list was never in force, and the one below counts.
 
-A fence above a list is the trace of another driver. Its list may have been
-in force although this VM has never met it, so it must be fetched first.
+A witness keeps every fence above its installed list together with the
+witnesses of the list that set it. So a list which this VM has never met is
+looked at as well, although nobody may have it any more.
+
+A list's witnesses may have been replaced at once. Those that have been
+absent from the list for longer than records are kept can't be waited for, but
+what they knew is lost: keys up to now are then not vouched for.
 """
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import TypeAlias
 
-from jacinthcroft_decisions.internal.coordination.history import (
-    PlacementHistory,
-)
 from jacinthcroft_decisions.internal.coordination.messages import ShardView
-from jacinthcroft_decisions.internal.coordination.placement import Placement
 from jacinthcroft_decisions.internal.coordination.terms import majority_of
+from jacinthcroft_decisions.internal.coordination.witness_sets import (
+    WitnessSet,
+)
 
 
 @dataclass(frozen=True)
 class FencesNeeded:
     """Too few witnesses of an earlier list are fenced."""
 
-    placement: Placement
-
-
-@dataclass(frozen=True)
-class ListsNeeded:
-    """Witnesses were fenced for lists that this VM does not know."""
-
-    revisions: tuple[int, ...]
+    earlier: WitnessSet
 
 
 @dataclass(frozen=True)
 class NoneInstalled:
     """No known earlier list was ever in force."""
 
-    vouch_from: float
-
 
 @dataclass(frozen=True)
 class PredecessorFound:
-    """The last list in force is fenced; keys above `vouch_from` are known."""
+    """The last list in force is fenced; keys above `vouch_from` are known.
+
+    `is_cold` says that some of what it knew is lost with its witnesses.
+    """
 
     vouch_from: float
+    is_cold: bool
 
 
-SurveyResult: TypeAlias = (
-    FencesNeeded | ListsNeeded | NoneInstalled | PredecessorFound
-)
+SurveyResult: TypeAlias = FencesNeeded | NoneInstalled | PredecessorFound
 
 
 def survey(
-    shard: int,
-    revision: int,
-    history: PlacementHistory,
+    known: Sequence[WitnessSet],
     fenced: Mapping[int, Sequence[ShardView]],
 ) -> SurveyResult:
-    """Looks for the shard's last list in force below `revision`.
+    """Looks for the shard's last list in force.
 
-    `fenced` holds, by list revision, what a fenced majority of its witnesses
-    knew.
+    `known` are the witnesses of all earlier lists, the newest first; `fenced`
+    holds, by list revision, what a fenced majority of them knew.
     """
     vouch_from: float = 0
-    for placement in history.earlier(revision):
-        witnesses = placement.witnesses(shard)
-        if not witnesses:
-            continue
-        views = fenced.get(placement.revision)
+    is_cold = False
+    for earlier in known:
+        views = fenced.get(earlier.revision)
         if views is None:
-            return FencesNeeded(placement)
+            return FencesNeeded(earlier)
+        majority = majority_of(len(earlier.vms))
+        is_cold = is_cold or len(views) < majority
+        vouch_from = max(vouch_from, _gap(views, majority))
         installed = [
-            view for view in views if view.installed >= placement.revision
+            view.vouch_from
+            for view in views
+            if view.installed >= earlier.revision
         ]
-        floor = placement.revision if installed else 0
-        unknown = _unknown_fences(views, floor, revision, history)
-        if unknown:
-            return ListsNeeded(unknown)
-        vouch_from = max(vouch_from, _gap_of_majority(views, len(witnesses)))
         if installed:
-            handed_over = min(view.vouch_from for view in installed)
-            return PredecessorFound(max(vouch_from, handed_over))
-    return NoneInstalled(vouch_from)
+            return PredecessorFound(max(vouch_from, min(installed)), is_cold)
+    return NoneInstalled()
 
 
-def _gap_of_majority(views: Sequence[ShardView], count: int) -> float:
+def _gap(views: Sequence[ShardView], majority: int) -> float:
     """Returns the key time above which a majority has no gap."""
     gaps = sorted(view.vouch_from for view in views)
-    return gaps[majority_of(count) - 1]
-
-
-def _unknown_fences(
-    views: Iterable[ShardView],
-    floor: int,
-    revision: int,
-    history: PlacementHistory,
-) -> tuple[int, ...]:
-    fences = {
-        fence
-        for view in views
-        for fence in view.fences
-        if floor < fence < revision
-    }
-    return tuple(sorted(history.unknown(fences)))
+    return max(gaps[:majority], default=0)
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness.py
@@ -22,6 +22,9 @@
 from jacinthcroft_decisions.internal.coordination.witness_handlers import (
     handle,
 )
+from jacinthcroft_decisions.internal.coordination.witness_sets import (
+    WitnessSet,
+)
 from jacinthcroft_decisions.internal.coordination.witness_state import (
     WitnessState,
 )
@@ -80,7 +83,7 @@
         if placement.revision <= state.adopted:
             return
         if state.placement is None:
-            state.first_revision = placement.revision
+            state.adopt_first(placement)
         state.placement = placement
         state.revisions.add(placement.revision)
         for shard in range(state.terms.shard_count):
@@ -139,12 +142,14 @@
             return
         memory = state.memory(read_back.shard)
         for view in read_back.views:
-            memory.fences.update(view.fences)
+            for fence in view.fences:
+                memory.fence(fence)
         views = read_back.installed_views
         is_served = memory.installed >= read_back.revision
         if views and not is_served and not memory.is_stale(read_back.revision):
             vouch_from = read_back.vouch_from(state.start_wall_limit)
-            memory.restore(read_back.revision, vouch_from, views)
+            witnesses = WitnessSet(read_back.revision, read_back.witnesses)
+            memory.restore(witnesses, vouch_from, views)
         memory.note_whole(read_back.revision, state.terms.history_limit)
         state.read_backs.pop((read_back.shard, read_back.revision))
 
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness_handlers.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness_handlers.py
@@ -26,6 +26,9 @@
     SettleReply,
     SettleRequest,
 )
+from jacinthcroft_decisions.internal.coordination.witness_sets import (
+    WitnessSet,
+)
 from jacinthcroft_decisions.internal.coordination.witness_state import (
     WitnessState,
 )
@@ -81,25 +84,29 @@
     memory = state.memory(request.shard)
     outcome = Outcome.DONE
     view = None
-    is_whole = state.is_whole_for(request.shard, request.earlier, now)
+    is_whole = state.is_whole_for(
+        request.shard,
+        request.earlier.revision,
+        now,
+    )
     if memory.is_stale(request.revision):
         outcome = Outcome.STALE
     elif state.is_abstaining(now) or not is_whole:
         outcome = Outcome.ABSTAINING
         state.plan_read_back(
             request.shard,
-            request.earlier,
-            request.witnesses,
+            request.earlier.revision,
+            request.earlier.vms,
         )
     else:
-        memory.fence(request.revision)
+        memory.fence(WitnessSet(request.revision, request.witnesses))
         view = memory.view(now, state.is_long_up(now))
     return FenceReply(
         request.shard,
         request.revision,
         outcome,
         state.newest(request.shard),
-        request.earlier,
+        request.earlier.revision,
         view,
     )
 
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness_state.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness_state.py
@@ -10,6 +10,9 @@
 from jacinthcroft_decisions.internal.coordination.terms import (
     CoordinationTerms,
 )
+from jacinthcroft_decisions.internal.coordination.witness_sets import (
+    WitnessSet,
+)
 
 
 @define
@@ -25,7 +28,7 @@
     started_wall: float
     terms: CoordinationTerms
     placement: Placement | None = field(default=None, init=False)
-    first_revision: int = field(default=0, init=False)
+    first_placement: Placement | None = field(default=None, init=False)
     revisions: set[int] = field(factory=set, init=False)
     shards: dict[int, ShardMemory] = field(factory=dict, init=False)
     read_backs: dict[tuple[int, int], ReadBack] = field(
@@ -83,8 +86,8 @@
         known = self.shards.get(shard)
         if known is None:
             known = ShardMemory(self.start_wall_limit)
-            known.fences.add(self.first_revision)
             self.shards[shard] = known
+            self._fence_at_first(shard, known)
         return known
 
     def newest(self, shard: int) -> int:
@@ -94,3 +97,15 @@
     def wall(self, now: float) -> float:
         """Returns unix seconds at a time of the boot clock."""
         return self.started_wall + (now - self.started_at)
+
+    def adopt_first(self, placement: Placement) -> None:
+        """Refuses whatever is below the first list of this incarnation."""
+        self.first_placement = placement
+        for shard, memory in self.shards.items():
+            self._fence_at_first(shard, memory)
+
+    def _fence_at_first(self, shard: int, memory: ShardMemory) -> None:
+        if self.first_placement is not None:
+            memory.fence(
+                WitnessSet.from_placement(self.first_placement, shard),
+            )
--- a/tests/cover/coordination/broken_variants.py
+++ b/tests/cover/coordination/broken_variants.py
@@ -31,10 +31,11 @@
         wall: float,
     ) -> CoordinationReply:
         fences = self._state.memory(message.shard).fences
-        known = frozenset(fences)
+        known = dict(fences)
         reply = super().handle(message, now, wall)
         if isinstance(message, FenceRequest):
-            fences.intersection_update(known)
+            fences.clear()
+            fences.update(known)
         return reply
 
 
--- /dev/null
+++ b/tests/cover/coordination/test_coordination_parts.py
@@ -0,0 +1,289 @@
+"""Placement, keys, records, messages, freshness and claims by themselves."""
+
+import random
+
+import cattrs
+import pytest
+from attrs import evolve
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from jacinthcroft_config import VmList, VmState
+from jacinthcroft_decisions.coordination import (
+    MESSAGE_KINDS,
+    Claim,
+    ClaimGranted,
+    ClaimRecord,
+    ClaimReply,
+    ClaimRequest,
+    ClaimRunning,
+    ClaimState,
+    ClaimUnavailable,
+    CoordinationTerms,
+    FenceReply,
+    Freshness,
+    Header,
+    HeardFrom,
+    KeyAccepted,
+    KeyInFuture,
+    KeyInvalid,
+    KeyTooOld,
+    LeaseView,
+    Outcome,
+    Placement,
+    RecordedAnswer,
+    SettleRequest,
+    ShardView,
+    Witness,
+    WitnessSet,
+    key_time_ms,
+    kind_of,
+)
+from jacinthcroft_decisions.internal.coordination.fence_round import FenceRound
+from jacinthcroft_decisions.internal.coordination.history import (
+    PlacementHistory,
+)
+from jacinthcroft_decisions.internal.coordination.records import merge_copies
+from jacinthcroft_decisions.internal.coordination.survey import (
+    FencesNeeded,
+    PredecessorFound,
+    survey,
+)
+
+from tests.cover.coordination.shard_simulation import (
+    TERMS,
+    WALL_START,
+    make_key,
+    make_list,
+    make_vm,
+)
+
+NAMES = tuple(f'vm{number}' for number in range(12))
+PLACEMENT = Placement.from_vm_list(make_list(1, NAMES), CoordinationTerms())
+ANSWER = RecordedAnswer(200, (Header('X-Kind', 'paid'),), 'b2s=')
+STATES = st.sampled_from(ClaimState)
+EARLY = make_key(WALL_START - 1, 1)
+LATE = make_key(WALL_START + 20, 2)
+
+
+@pytest.mark.parametrize('shard', range(64))
+def test_no_zone_has_a_majority_of_a_shard(shard: int) -> None:
+    zones = [
+        int(vm.removeprefix('vm')) % 3 for vm in PLACEMENT.witnesses(shard)
+    ]
+    assert sorted(zones.count(zone) for zone in range(3)) == [1, 2, 2]
+    first = {int(vm[2:]) % 3 for vm in PLACEMENT.candidates(shard)[:3]}
+    assert len(first) == 3
+
+
+def test_leaving_vms_and_zones_out_get_no_shards_but_stay_members() -> None:
+    vms = (
+        make_vm('vm0', 'z0'),
+        make_vm('vm1', 'z1'),
+        make_vm('vm2', 'z2', VmState.LEAVING),
+    )
+    placement = Placement.from_vm_list(
+        VmList(3, vms, frozenset(('z1',))),
+        CoordinationTerms(),
+    )
+    assert placement.candidates(5) == placement.witnesses(5) == ('vm0',)
+    assert placement.members == ('vm0', 'vm1', 'vm2')
+
+
+def test_an_empty_list_places_nothing() -> None:
+    placement = Placement.from_vm_list(VmList(3, ()), CoordinationTerms())
+    assert placement.candidates(0) == placement.witnesses(0) == ()
+
+
+def test_a_key_is_judged_by_its_form_and_time() -> None:
+    key = make_key(WALL_START, 7).rpartition('/')[2]
+    times = (WALL_START, WALL_START + 601, WALL_START - 3)
+    verdicts = [key_time_ms(key, wall, TERMS) for wall in times]
+    assert verdicts == [
+        KeyAccepted(key, WALL_START * 1000),
+        KeyTooOld(601),
+        KeyInFuture(3),
+    ]
+
+
+@pytest.mark.parametrize(
+    'text',
+    ['', 'x', '6ba7b810-9dad-41d1-80b4-00c04fd430c8', f'{{{LATE[-36:]}}}'],
+)
+def test_other_texts_are_no_keys(text: str) -> None:
+    assert key_time_ms(text, WALL_START, TERMS) == KeyInvalid()
+
+
+@settings(derandomize=True)
+@given(st.lists(st.tuples(st.sampled_from('abc'), STATES), min_size=1))
+def test_merging_never_frees_a_key_that_a_live_claim_holds(
+    copies: list[tuple[str, ClaimState]],
+) -> None:
+    records = [
+        ClaimRecord(
+            'key',
+            claimer,
+            state,
+            created_wall=1,
+            released=(claimer,) if state is ClaimState.RELEASED else (),
+        )
+        for claimer, state in copies
+    ]
+    merged = merge_copies(records)
+    released = {record.claimer for record in records if not record.is_live}
+    is_free = all(
+        record.state in {ClaimState.CLAIMED, ClaimState.RELEASED}
+        and record.claimer in released
+        for record in records
+    )
+    assert merged.is_live != is_free
+    assert merge_copies(reversed(records)).is_live == merged.is_live
+    assert set(merged.released) == released
+
+
+def test_two_standing_claims_contest_a_key_until_one_is_answered() -> None:
+    first = ClaimRecord('key', 'a', ClaimState.CLAIMED, created_wall=1)
+    merged = merge_copies((first, evolve(first, claimer='b')))
+    assert merged.state is ClaimState.CONTESTED
+    assert merged.with_answer('a', ANSWER).answer == ANSWER
+
+
+def test_messages_survive_their_way_through_json() -> None:
+    record = ClaimRecord(LATE, 'a', ClaimState.ANSWERED, 2, ('b',), ANSWER)
+    view = ShardView(
+        (WitnessSet(2, ('vm1',)),),
+        1,
+        0,
+        LeaseView('vm1', 'i', 2),
+        (record,),
+        (1,),
+    )
+    message = FenceReply(3, 2, Outcome.DONE, 2, 1, view)
+    encoded = cattrs.unstructure(message)
+    message_class = MESSAGE_KINDS[kind_of(message)]
+    assert cattrs.structure(encoded, message_class) == message
+
+
+def _witness() -> Witness:
+    """Returns a witness of a one-VM list that is installed when it starts."""
+    witness = Witness('vm0', 'i', 0, WALL_START, TERMS)
+    alone = Placement.from_vm_list(make_list(1, ('vm0',)), TERMS)
+    witness.adopt(alone, 0)
+    witness.tick(4)
+    install = MESSAGE_KINDS['install-request']
+    witness.handle(
+        install(0, 1, ('vm0',), 'vm0', 'i', 0, False, ()), 5, WALL_START + 5
+    )
+    return witness
+
+
+def _ask(witness: Witness, key: str, claimer: str) -> Outcome:
+    request = ClaimRequest(0, 1, key, claimer)
+    return witness.handle(request, 21, WALL_START + 21).outcome
+
+
+def test_a_key_is_written_once_at_a_witness() -> None:
+    witness = _witness()
+    outcomes = [_ask(witness, LATE, claimer) for claimer in 'aab']
+    assert outcomes == [Outcome.DONE, Outcome.DONE, Outcome.RUNNING]
+
+
+def test_a_key_older_than_the_witness_is_not_vouched_for() -> None:
+    assert _ask(_witness(), EARLY, 'a') is Outcome.NOT_VOUCHED
+
+
+def test_a_release_stops_its_late_claim_and_frees_the_key() -> None:
+    witness = _witness()
+    witness.handle(SettleRequest(0, 1, LATE, 'a'), 21, WALL_START + 21)
+    assert _ask(witness, LATE, 'a') is Outcome.RELEASED
+    assert _ask(witness, LATE, 'b') is Outcome.DONE
+
+
+def test_records_are_evicted_after_the_retention() -> None:
+    witness = _witness()
+    _ask(witness, LATE, 'a')
+    witness.tick(20 + TERMS.key_retention)
+    assert witness.record_count == 1
+    witness.tick(21 + TERMS.record_retention)
+    assert witness.record_count == 0
+
+
+def test_witnesses_that_are_gone_for_good_do_not_block_a_new_list() -> None:
+    history = PlacementHistory(TERMS)
+    history.add(Placement.from_vm_list(make_list(1, NAMES[:3]), TERMS), 0)
+    history.add(Placement.from_vm_list(make_list(2, NAMES[2:]), TERMS), 5)
+    earlier = WitnessSet(1, NAMES[:3])
+    running = FenceRound(0, WitnessSet(2, NAMES[3:6]), earlier, TERMS)
+    now = 5 + TERMS.record_retention
+    assert not history.gone(now - 1)
+    running.count_gone(history.gone(now))
+    assert not running.is_complete
+    running.requests(now)
+    view = ShardView((), 1, vouch_from=9, lease=None, records=())
+    reply = FenceReply(0, 2, Outcome.DONE, 2, 1, view)
+    running.receive('vm2', reply, now, now)
+    running.count_gone(history.gone(now))
+    found = survey((earlier,), {1: running.views})
+    assert running.is_complete
+    assert found == PredecessorFound(9, is_cold=True)
+
+
+def test_a_list_that_was_never_met_is_fenced_before_the_one_below() -> None:
+    known = (WitnessSet(4, NAMES[:3]), WitnessSet(1, NAMES[3:6]))
+    view = ShardView((known[0],), 1, vouch_from=0, lease=None, records=())
+    assert survey(known, {1: (view,)}) == FencesNeeded(known[0])
+
+
+def _vote(claim: Claim, vm: str, outcome: Outcome, now: float) -> None:
+    shard = claim.placement.shard_of(claim.key)
+    reply = ClaimReply(shard, 1, outcome, 1, claim.claim_id)
+    claim.receive(vm, reply, now)
+
+
+@pytest.mark.parametrize(
+    ('outcomes', 'verdict'),
+    [
+        ((Outcome.DONE,) * 3, ClaimGranted()),
+        ((Outcome.DONE,) * 2, None),
+        ((Outcome.RUNNING,) * 2, None),
+        ((Outcome.DONE,) * 2 + (Outcome.RUNNING,) * 3, ClaimRunning()),
+        ((Outcome.STALE,) * 3, ClaimUnavailable()),
+    ],
+)
+def test_a_claim_needs_a_majority(
+    outcomes: tuple[Outcome, ...],
+    verdict: object,
+) -> None:
+    claim = Claim.start(LATE, 'a', PLACEMENT, CoordinationTerms(), 0)
+    for outgoing, outcome in zip(claim.requests(), outcomes, strict=False):
+        _vote(claim, outgoing.to, outcome, 1)
+    assert claim.verdict(1) == verdict
+
+
+def test_late_votes_do_not_count_and_the_verdict_stands() -> None:
+    claim = Claim.start(LATE, 'a', PLACEMENT, CoordinationTerms(), 0)
+    for outgoing in claim.requests():
+        _vote(claim, outgoing.to, Outcome.DONE, 1.1)
+    assert claim.verdict(1.1) == ClaimUnavailable()
+    with pytest.raises(ValueError, match='granted'):
+        claim.settle_answered(ANSWER)
+
+
+def test_a_vm_is_fresh_by_the_platform_or_by_a_majority() -> None:
+    freshness = Freshness('vm0', CoordinationTerms())
+    assert not freshness.is_fresh(0, PLACEMENT)
+    freshness.platform_heard(0)
+    assert freshness.is_fresh(5, PLACEMENT)
+    ages = tuple(HeardFrom(vm, 2) for vm in NAMES[2:7])
+    freshness.heard('vm1', 10, ages, 12)
+    assert freshness.is_fresh(13, PLACEMENT)
+    assert not freshness.is_fresh(13.1, PLACEMENT)
+    assert freshness.ages(13.1) == (
+        HeardFrom('vm0', 0),
+        HeardFrom('vm1', 13.1 - 10),
+    )
+
+
+def test_peers_are_chosen_among_the_other_vms() -> None:
+    freshness = Freshness('vm0', CoordinationTerms())
+    chosen = freshness.choose_peers(random.Random(1), PLACEMENT, 99)
+    assert set(chosen) == set(NAMES[1:])
