--- a/packages/testkit/src/jacinthcroft_testkit/faultproxy.py
+++ b/packages/testkit/src/jacinthcroft_testkit/faultproxy.py
@@ -1,7 +1,8 @@
 """Stand-in for a faulty network: `python -m jacinthcroft_testkit.faultproxy`.
 
 One process carries many TCP links. It prints `ready host:port` of its
-control port, which takes `AddLinks` and `SetLinks`.
+control port, which takes `AddLinks`, `SetLinks`
+and `ReadTraffic`.
 """
 
 import asyncio
@@ -16,7 +17,9 @@
 from jacinthcroft_testkit.internal.link_messages import (
     AddLinks,
     LinkPorts,
+    ReadTraffic,
     SetLinks,
+    Traffic,
 )
 from jacinthcroft_testkit.internal.links import LinkTable
 
@@ -30,6 +33,7 @@
         self.desk = ControlDesk()
         self.desk.register(AddLinks, self._add)
         self.desk.register(SetLinks, self._set)
+        self.desk.register(ReadTraffic, self._read_traffic)
 
     async def _add(self, message: AddLinks) -> LinkPorts:
         ports = {}
@@ -47,6 +51,9 @@
         )
         return Count(count)
 
+    async def _read_traffic(self, message: ReadTraffic) -> Traffic:
+        return Traffic(self._table.passed_bytes(message.pattern))
+
 
 def main() -> None:
     """Runs the fault proxy until SIGTERM."""
--- a/packages/testkit/src/jacinthcroft_testkit/fleet.py
+++ b/packages/testkit/src/jacinthcroft_testkit/fleet.py
@@ -40,7 +40,8 @@
     """What a fleet consists of.
 
     VMs are called vm1, vm2 and so on, and are dealt out to the zones in
-    turn. `tunables` go into every VM's settings.
+    turn. `tunables` go into every VM's settings; `daemon` is the module that
+    each VM runs.
     """
 
     vms: int = 6
@@ -48,6 +49,7 @@
     with_faults: bool = False
     tunables: Mapping[str, float] = field(factory=dict)
     seed: int = 0
+    daemon: str = 'jacinthcroft_daemon'
 
 
 class Fleet:
@@ -176,7 +178,7 @@
         proxy = None
         if self._plan.with_faults:
             proxy = await FaultProxyStandIn.start(processes, pool)
-        self._network = Network(processes.folder, proxy)
+        self._network = Network(processes.folder, proxy, self._plan.daemon)
         self.vms = VmGroup(
             processes,
             self._network,
--- /dev/null
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/baseline/__init__.py
@@ -0,0 +1,1 @@
+"""A proxy of the plain kind, which the bench compares with."""
--- /dev/null
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The experiments of the bench."""
--- a/packages/testkit/src/jacinthcroft_testkit/internal/kinds.py
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/kinds.py
@@ -5,6 +5,7 @@
 
 from jacinthcroft_config import Access, Route, Service
 
+from jacinthcroft_testkit.internal.documents import EXAMPLE_KEY
 from jacinthcroft_testkit.internal.requests import RequestKind
 
 # What targets are told of requests that need no key.
@@ -34,7 +35,7 @@
     return RequestKind(
         service=service.name,
         team=team,
-        api_key='' if team == OPEN_TEAM else f'example-key-{team}',
+        api_key='' if team == OPEN_TEAM else EXAMPLE_KEY + team,
         method=method,
         path=_PARAMETER.sub('{n}', route.path),
         is_idempotent=route.is_idempotent,
--- a/packages/testkit/src/jacinthcroft_testkit/internal/link_messages.py
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/link_messages.py
@@ -36,3 +36,17 @@
     pattern: str
     setting: Setting = field(factory=Setting)
     directions: tuple[Direction, ...] = BOTH_DIRECTIONS
+
+
+@frozen
+class ReadTraffic:
+    """Asks for the bytes of all links that fit; the reply is `Traffic`."""
+
+    pattern: str = '*'
+
+
+@frozen
+class Traffic:
+    """Bytes that went through each link, both directions together."""
+
+    passed_bytes: dict[str, int]
--- a/packages/testkit/src/jacinthcroft_testkit/internal/links.py
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/links.py
@@ -69,6 +69,7 @@
         self._server: asyncio.Server | None = None
         self._port = 0
         self._writers: set[asyncio.StreamWriter] = set()
+        self._passed_bytes = 0
 
     @property
     def name(self) -> str:
@@ -80,6 +81,15 @@
         """Where the link listens."""
         return Address(_LOOPBACK, self._port)
 
+    @property
+    def passed_bytes(self) -> int:
+        """How many bytes went through, both directions together."""
+        return self._passed_bytes
+
+    def count(self, size: int) -> None:
+        """Adds bytes that went through."""
+        self._passed_bytes += size
+
     def setting(self, direction: Direction) -> Setting:
         """Returns what one direction does now."""
         return self._settings[direction]
@@ -162,6 +172,11 @@
         self._links[name] = link
         return link.address
 
+    def passed_bytes(self, pattern: str) -> dict[str, int]:
+        """Returns the bytes that went through links of a pattern."""
+        names = fnmatch.filter(self._links, pattern)
+        return {name: self._links[name].passed_bytes for name in names}
+
     async def change(
         self,
         pattern: str,
@@ -224,6 +239,7 @@
         if setting.mode is Mode.DELAY:
             await asyncio.sleep(setting.delay_ms / _MILLISECONDS_PER_SECOND)
         self._writer.write(chunk)
+        self._link.count(len(chunk))
         await self._writer.drain()
 
 
--- a/packages/testkit/src/jacinthcroft_testkit/internal/network.py
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/network.py
@@ -9,8 +9,7 @@
 
 from jacinthcroft_testkit.internal.stand_ins import FaultProxyStandIn
 
-_DAEMON = ('-m', 'jacinthcroft_daemon')
-_LINKED_DAEMON = ('-m', 'jacinthcroft_testkit.linked_vm')
+_LINKED_VM = 'jacinthcroft_testkit.linked_vm'
 
 
 @define(eq=False)
@@ -22,6 +21,7 @@
 
     _folder: pathlib.Path
     proxy: FaultProxyStandIn | None
+    _daemon: str
     _links: defaultdict[str, dict[str, str]] = field(
         factory=lambda: defaultdict(dict),
         init=False,
@@ -30,8 +30,8 @@
     def launch(self, vm: str) -> tuple[str, ...]:
         """Returns the Python arguments that run a VM's daemon."""
         if self.proxy is None:
-            return _DAEMON
-        return (*_LINKED_DAEMON, str(self._path(vm)))
+            return ('-m', self._daemon)
+        return ('-m', _LINKED_VM, str(self._path(vm)), self._daemon)
 
     async def connect(
         self,
--- a/packages/testkit/src/jacinthcroft_testkit/internal/requests.py
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/requests.py
@@ -77,6 +77,10 @@
             entrance for entrance in self._entrances if entrance.vm != vm
         ]
 
+    def admit(self, entrance: Entrance) -> None:
+        """Sends requests to a VM again."""
+        self._entrances = [*self._entrances, entrance]
+
     def shun(self, vm: str, now: float) -> None:
         """Passes a VM over for a while."""
         self._shunned_until[vm] = now + self._retreat_seconds
--- a/packages/testkit/src/jacinthcroft_testkit/internal/stand_ins.py
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/stand_ins.py
@@ -11,7 +11,9 @@
 from jacinthcroft_testkit.internal.link_messages import (
     AddLinks,
     LinkPorts,
+    ReadTraffic,
     SetLinks,
+    Traffic,
 )
 from jacinthcroft_testkit.internal.links import (
     BOTH_DIRECTIONS,
@@ -157,3 +159,8 @@
         """Changes links; returns how many fitted the pattern."""
         message = SetLinks(pattern, setting, tuple(directions))
         return (await self._ask(message, Count)).count
+
+    async def read_traffic(self, pattern: str = '*') -> dict[str, int]:
+        """Returns the bytes that went through each link."""
+        reply = await self._ask(ReadTraffic(pattern), Traffic)
+        return reply.passed_bytes
