--- a/packages/daemon/src/jacinthcroft_daemon/internal/app.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/app.py
@@ -59,7 +59,6 @@
             settings.vm.zone,
             CoordinationTerms(),
             started_at,
-            settings.network.address_map,
         )
         self._peers = PeerClient(
             settings.vm.name,
@@ -106,7 +105,7 @@
         self._cells = HeldCells(
             view,
             self._coordination,
-            Prober(view, self._pool),
+            Prober(self._pool),
             incarnation,
         )
         self._permits = PermitService(view, self._cells, finder)
@@ -129,7 +128,7 @@
     def _build_ports(self) -> None:
         reporter = RequestReporter()
         admission = Admission(self._view)
-        attempts = Attempts(self._view, admission, self._permits, self._pool)
+        attempts = Attempts(admission, self._permits, self._pool)
         runner = Runner(
             self._tokens,
             self._permits,
--- a/packages/daemon/src/jacinthcroft_daemon/internal/fleet/view.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/fleet/view.py
@@ -6,13 +6,11 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable
 from typing import Final
 
 from attrs import frozen
 from jacinthcroft_config import (
     Address,
-    AddressPair,
     Configuration,
     RouteTable,
     Service,
@@ -47,7 +45,6 @@
         zone: str,
         terms: CoordinationTerms,
         started_at: float,
-        address_map: Iterable[AddressPair] = (),
     ) -> None:
         """Starts empty: nothing is in force until something is adopted."""
         self._vm = vm
@@ -62,9 +59,6 @@
         self._addresses: dict[str, Address] = {}
         self._lists: OrderedDict[int, PublishedText] = OrderedDict()
         self._configured_at = started_at
-        self._reachable = {
-            pair.published: pair.reachable for pair in address_map
-        }
         self._freshness = Freshness(vm, terms)
 
     @property
@@ -134,12 +128,7 @@
 
     def peer_address(self, vm: str) -> Address | None:
         """Returns where another VM takes peer messages."""
-        address = self._addresses.get(vm)
-        return None if address is None else self.reachable(address)
-
-    def reachable(self, address: Address) -> Address:
-        """Returns the address by which this VM reaches a published one."""
-        return self._reachable.get(address, address)
+        return self._addresses.get(vm)
 
     def is_fresh(self, now: float) -> bool:
         """Whether this VM may trust that it would know of a withdrawal."""
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/attempt.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/attempt.py
@@ -6,7 +6,6 @@
 
 from attrs import frozen
 from jacinthcroft_config import Address
-from jacinthcroft_daemon.internal.fleet.view import FleetView
 from jacinthcroft_daemon.internal.pipeline.admission import Admission, Work
 from jacinthcroft_daemon.internal.pipeline.bodies import RequestBody
 from jacinthcroft_daemon.internal.pipeline.reported_body import ReportedBody
@@ -83,13 +82,11 @@
 
     def __init__(
         self,
-        view: FleetView,
         admission: Admission,
         permits: PermitService,
         pool: ConnectionPool,
     ) -> None:
         """Checks with `admission` once more before the first byte."""
-        self._view = view
         self._admission = admission
         self._permits = permits
         self._pool = pool
@@ -216,8 +213,7 @@
         ticket: Ticket,
     ) -> OutgoingRequest:
         permit = ticket.permit
-        published = Address(permit.address_host, permit.address_port)
-        address = self._view.reachable(published)
+        address = Address(permit.address_host, permit.address_port)
         remaining_ms = max(int((work.deadline - now()) * 1000), 1)
         kept = strip_hop_by_hop(request.headers).without(*_OWN_REQUEST_HEADERS)
         return OutgoingRequest(
@@ -226,7 +222,7 @@
             method=request.method,
             target=request.target,
             headers=kept.with_added(
-                ('host', str(published)),
+                ('host', str(address)),
                 ('x-request-id', work.request_id),
                 ('x-team', work.team_name),
                 ('deadline-ms', str(remaining_ms)),
--- a/packages/http/src/jacinthcroft_http/internal/answer.py
+++ b/packages/http/src/jacinthcroft_http/internal/answer.py
@@ -32,11 +32,14 @@
 class Answer:
     """An answer whose head has come; its body is read once.
 
-    Whoever gets an answer reads it to its end or calls `close`.
+    Whoever gets an answer reads it to its end or calls `close`. An answer
+    that is not framed ends with its connection, so that one whose target
+    died in the middle looks whole.
     """
 
     status: int
     headers: Headers
+    is_framed: bool
     _connection: ClientConnection
     _chunks: deque[bytes] = field(factory=deque, init=False)
     _is_ended: bool = field(default=False, init=False)
@@ -98,8 +101,8 @@
         while not self._is_ended and event is not h11.NEED_DATA:
             try:
                 event = self._connection.reader.receive_now()
-            except h11.RemoteProtocolError:
-                # The parser tells it again to whoever reads the body.
+            except (h11.RemoteProtocolError, OSError):
+                # The reader tells it again to whoever reads the body.
                 return
             if event is not h11.NEED_DATA:
                 self._take(event)
