Invite successors when leases are given up: a planned stop leaves no gap

Cause: the team's shard, not the cell's, was left without a holder for 1.5 s after a planned stop: nobody told the next candidate, which looked again only after half a lease term. Ruled out: the cell's handover (it arrived in 0.1 s). Change: leases given up are named to the next candidate; handovers go first. Telemetry wired in: metrics, traces, explain, limited repeats.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/app.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/app.py
@@ -38,7 +38,7 @@
 from jacinthcroft_daemon.internal.sharing.probes import Prober
 from jacinthcroft_daemon.internal.sharing.quarantine import QuarantineService
 from jacinthcroft_daemon.internal.sharing.tokens import TokenService
-from jacinthcroft_daemon.internal.telemetry import log_event
+from jacinthcroft_daemon.internal.telemetry import Metrics, Revisions, log_event
 
 _INCARNATION_BYTES: Final = 8
 _BAD_REQUEST: Final = 400
@@ -85,6 +85,10 @@
             incarnation,
             started_at,
         )
+        self._metrics = Metrics.from_limits(
+            settings.tunables.metric_teams,
+            self._read_revisions,
+        )
         self._build_sharing(incarnation)
         self._build_ports()
 
@@ -107,6 +111,7 @@
             self._coordination,
             Prober(self._pool),
             self._peers,
+            self._metrics,
             incarnation,
         )
         self._permits = PermitService(view, self._cells, finder)
@@ -127,7 +132,10 @@
             service.register(self._router)
 
     def _build_ports(self) -> None:
-        reporter = RequestReporter()
+        reporter = RequestReporter.from_config(
+            self._settings.tunables,
+            self._metrics,
+        )
         admission = Admission(self._view)
         attempts = Attempts(admission, self._permits, self._pool)
         runner = Runner(
@@ -135,9 +143,10 @@
             self._permits,
             attempts,
             self._quarantine,
+            reporter,
         )
         claims = ClaimService(self._view, self._coordination)
-        self._once = OnceRunner(claims, runner)
+        self._once = OnceRunner(claims, runner, reporter)
         callers = CallerPort(
             self._settings,
             admission,
@@ -152,6 +161,7 @@
             self._cells,
             self._permits,
             reporter,
+            self._metrics,
         )
         limits = ServerLimits(
             max_head_bytes=self._settings.tunables.max_head_bytes,
@@ -217,8 +227,8 @@
         # still sends is served.
         await asyncio.sleep(self._settings.tunables.drain_notice_ms / 1000)
         handovers = self._cells.close()
-        await self._coordination.release()
         await self._cells.hand_over(handovers)
+        await self._coordination.release()
         cut = await self._caller_server.drain(
             self._settings.tunables.drain_seconds
         )
@@ -227,6 +237,14 @@
         await self._operator_server.drain(1)
         log_event('info', 'stopped', vm=self._settings.vm.name, cut=cut)
 
+    def _read_revisions(self) -> Revisions:
+        view = self._view
+        return Revisions(
+            view.configuration.revision,
+            now() - view.configured_at,
+            view.vm_list.revision,
+        )
+
     def _on_change(self) -> None:
         self._coordination.adopt(placements_of(self._view))
         self._cells.adopt()
--- a/packages/daemon/src/jacinthcroft_daemon/internal/operators.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/operators.py
@@ -13,17 +13,19 @@
 )
 from jacinthcroft_daemon.internal.sharing.held_cells import HeldCells
 from jacinthcroft_daemon.internal.sharing.permits import PermitService
+from jacinthcroft_daemon.internal.telemetry import Metrics
 
 _OK: Final = 200
 _NOT_FOUND: Final = 404
 _UNAVAILABLE: Final = 503
+_MS_PER_SECOND: Final = 1000
 
 Answerer = Callable[['OperatorPort', IncomingRequest], Response]
 _ANSWERERS: dict[str, Answerer] = {}
 
 
 def operator_path(path: str) -> Callable[[Answerer], Answerer]:
-    """Registers the answerer of one path."""
+    """Registers the answerer of all paths with one first segment."""
 
     def decorator(answerer: Answerer) -> Answerer:
         _ANSWERERS[path] = answerer
@@ -42,6 +44,7 @@
         cells: HeldCells,
         permits: PermitService,
         reporter: RequestReporter,
+        metrics: Metrics,
     ) -> None:
         """Reads the state of the VM's services."""
         self.view = view
@@ -49,6 +52,7 @@
         self.cells = cells
         self.permits = permits
         self.reporter = reporter
+        self.metrics = metrics
         self.is_draining = False
 
     @property
@@ -71,7 +75,8 @@
 
     async def handle(self, request: IncomingRequest) -> Response:
         """Returns the answer for one path."""
-        answerer = _ANSWERERS.get(request.path)
+        first_segment = request.path.split('/')[1]
+        answerer = _ANSWERERS.get(f'/{first_segment}')
         if answerer is None:
             return Response.text(_NOT_FOUND, 'unknown path\n')
         return answerer(self, request)
@@ -89,6 +94,38 @@
     return Response.text(_UNAVAILABLE, 'not ready\n')
 
 
+@operator_path('/metrics')
+def _metrics(port: OperatorPort, request: IncomingRequest) -> Response:
+    return Response(
+        _OK,
+        (('content-type', 'text/plain; version=0.0.4; charset=utf-8'),),
+        port.metrics.stream(),
+    )
+
+
+@operator_path('/explain')
+def _explain(port: OperatorPort, request: IncomingRequest) -> Response:
+    request_id = request.path.rpartition('/')[2]
+    steps = port.reporter.traces.explain(request_id)
+    if steps is None:
+        return Response.text(_NOT_FOUND, 'request not remembered\n')
+    begun_at = steps[0].at
+    return Response.json(
+        _OK,
+        {
+            'request_id': request_id,
+            'events': [
+                {
+                    'at_ms': round((step.at - begun_at) * _MS_PER_SECOND, 1),
+                    'event': step.event,
+                    'detail': step.detail,
+                }
+                for step in steps
+            ],
+        },
+    )
+
+
 @operator_path('/status')
 def _status(port: OperatorPort, request: IncomingRequest) -> Response:
     view = port.view
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/callers.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/callers.py
@@ -49,6 +49,7 @@
     async def handle(self, request: IncomingRequest) -> Response:
         """Returns the answer to one request."""
         request_id = f'{self._vm}-{secrets.token_hex(_REQUEST_ID_BYTES)}'
+        self._reporter.step(request_id, 'received', request.method)
         work = self._admission.admit(request, request_id)
         if isinstance(work, Refusal):
             return self._refuse(request_id, work, None)
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/once.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/once.py
@@ -12,6 +12,7 @@
     Reason,
     Refusal,
 )
+from jacinthcroft_daemon.internal.pipeline.reporting import RequestReporter
 from jacinthcroft_daemon.internal.pipeline.runner import Finished, Runner
 from jacinthcroft_daemon.internal.sharing.claims import ClaimService
 from jacinthcroft_decisions.coordination import (
@@ -34,8 +35,14 @@
 class OnceRunner:
     """Runs work that must not repeat."""
 
-    def __init__(self, claims: ClaimService, runner: Runner) -> None:
+    def __init__(
+        self,
+        claims: ClaimService,
+        runner: Runner,
+        reporter: RequestReporter,
+    ) -> None:
         """Claims through `claims`, then runs through `runner`."""
+        self._reporter = reporter
         self._claims = claims
         self._runner = runner
         self._running: set[asyncio.Task[Finished | Refusal]] = set()
@@ -73,6 +80,11 @@
         fingerprint: str,
     ) -> Finished | Refusal:
         claim, verdict = await self._claims.claim(work.claimed_thing)
+        self._reporter.step(
+            work.request_id,
+            'claimed',
+            type(verdict).__name__,
+        )
         if not isinstance(verdict, ClaimGranted):
             return _without_claim(verdict)
         finished = await self._runner.run(work, request, body, fingerprint)
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/reporting.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/reporting.py
@@ -1,13 +1,24 @@
-"""Tells logs, metrics and traces how each request ended."""
+"""Tells logs, metrics and traces what became of each request."""
 
 from collections import Counter
+from typing import Final, Self
 
 from attrs import frozen
+from jacinthcroft_config import Tunables
 from jacinthcroft_daemon.internal.pipeline.admission import Work
 from jacinthcroft_daemon.internal.pipeline.refusals import Refusal
-from jacinthcroft_daemon.internal.telemetry import log_event
+from jacinthcroft_daemon.internal.telemetry import (
+    Count,
+    Metrics,
+    RepeatLog,
+    TraceBook,
+    log_event,
+)
 from jacinthcroft_http import now
 
+# Refusals of one reason and team come by the thousand under overload.
+_REPEAT_INTERVAL_SECONDS: Final = 5.0
+
 
 @frozen
 class TeamCount:
@@ -20,14 +31,36 @@
 
 
 class RequestReporter:
-    """Counts and logs the ends of requests."""
+    """Counts, logs and remembers the steps and ends of requests."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        metrics: Metrics,
+        traces: TraceBook,
+        repeats: RepeatLog,
+    ) -> None:
         """Starts at zero."""
+        self._metrics = metrics
+        self._traces = traces
+        self._repeats = repeats
         self._answered: Counter[tuple[str, str]] = Counter()
         self._refused: Counter[tuple[str, str]] = Counter()
         self._reasons: Counter[str] = Counter()
 
+    @classmethod
+    def from_config(cls, tunables: Tunables, metrics: Metrics) -> Self:
+        """Makes a reporter that remembers as much as the settings say."""
+        return cls(
+            metrics,
+            TraceBook.from_capacity(tunables.trace_entries),
+            RepeatLog.from_interval(_REPEAT_INTERVAL_SECONDS),
+        )
+
+    @property
+    def traces(self) -> TraceBook:
+        """What happened to the latest requests."""
+        return self._traces
+
     @property
     def team_counts(self) -> tuple[TeamCount, ...]:
         """The counts of all teams seen so far."""
@@ -42,9 +75,20 @@
         """How many requests were refused for each reason."""
         return tuple(sorted(self._reasons.items()))
 
+    def step(self, request_id: str, event: str, detail: str = '') -> None:
+        """Remembers a step of a request for `jacinthcroft explain`."""
+        self._traces.note(request_id, event, detail, now())
+
     def answered(self, work: Work, status: int, received_at: float) -> None:
-        """Notes an answer that a target gave."""
+        """Notes an answer that a target gave, at its head."""
+        seconds = now() - received_at
         self._answered[work.service.name, work.team_name] += 1
+        self._metrics.record_request(
+            work.team_name,
+            work.route.request_class,
+            seconds,
+        )
+        self.step(work.request_id, 'answered', str(status))
         log_event(
             'debug',
             'answered',
@@ -52,7 +96,7 @@
             service=work.service.name,
             team=work.team_name,
             status=status,
-            milliseconds=round((now() - received_at) * 1000, 1),
+            seconds=round(seconds, 4),
         )
 
     def refused(
@@ -62,14 +106,20 @@
         work: Work | None,
     ) -> None:
         """Notes a refusal."""
-        self._reasons[refusal.reason.value] += 1
+        reason = refusal.reason.value
+        team = ''
         if work is not None:
-            self._refused[work.service.name, work.team_name] += 1
-        log_event(
+            team = work.team_name
+            self._refused[work.service.name, team] += 1
+        self._reasons[reason] += 1
+        self._metrics.count(Count.REFUSALS, reason)
+        self.step(request_id, 'refused', f'{reason}: {refusal.detail}')
+        self._repeats.log(
             'info',
             'refused',
+            f'{reason}/{team}',
+            now(),
             request_id=request_id,
-            reason=refusal.reason.value,
             outcome=refusal.outcome.value,
             detail=refusal.detail,
         )
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/runner.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/runner.py
@@ -22,6 +22,7 @@
     Reason,
     Refusal,
 )
+from jacinthcroft_daemon.internal.pipeline.reporting import RequestReporter
 from jacinthcroft_daemon.internal.sharing.permits import NoPermit, PermitService
 from jacinthcroft_daemon.internal.sharing.quarantine import QuarantineService
 from jacinthcroft_daemon.internal.sharing.tokens import NoToken, TokenService
@@ -61,12 +62,14 @@
         permits: PermitService,
         attempts: Attempts,
         quarantine: QuarantineService,
+        reporter: RequestReporter,
     ) -> None:
         """Shares one retry budget per service among all requests."""
         self._tokens = tokens
         self._permits = permits
         self._attempts = attempts
         self._quarantine = quarantine
+        self._reporter = reporter
         self._budgets: dict[str, RetryBudget] = {}
 
     async def run(
@@ -85,6 +88,11 @@
             ticket = await self._acquire(work)
             if isinstance(ticket, Refusal):
                 return _with_truth(ticket, may_have_run)
+            self._reporter.step(
+                work.request_id,
+                'dispatched',
+                ticket.permit.target,
+            )
             outcome = await self._attempts.send(
                 work,
                 request,
@@ -98,6 +106,7 @@
                     outcome.headers.pairs,
                     outcome.body,
                 )
+            self._reporter.step(work.request_id, 'failed', outcome.detail)
             if isinstance(outcome, Lost):
                 may_have_run = True
                 refusal = await self._after_loss(work, outcome, fingerprint)
@@ -149,7 +158,7 @@
         return Refusal(
             Reason.NO_CAPACITY,
             Outcome.NOT_RUN,
-            "no VM holds the team's allowance at this moment",
+            f'no VM holds the allowance of team {work.team_name} now',
             1,
         )
 
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/coordination.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/coordination.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import itertools
 import time
 from collections import defaultdict
 from collections.abc import Iterable
@@ -36,6 +37,7 @@
 )
 
 BATCH_KIND: Final = 'coordination'
+_INVITATION_KIND: Final = 'invitation'
 _BATCH_TIMEOUT_SECONDS: Final = 1.0
 
 
@@ -46,6 +48,20 @@
     messages: tuple[TaggedMessage, ...]
 
 
+@frozen
+class Invitation:
+    """Shards whose leases the sender has just given up."""
+
+    shards: tuple[int, ...]
+
+
+@frozen
+class InvitationReply:
+    """The invitation arrived."""
+
+    vm: str
+
+
 class CoordinationService:
     """Owns this VM's witness and coordinator."""
 
@@ -98,6 +114,7 @@
     def register(self, router: PeerRouter) -> None:
         """Answers peers' batches."""
         router.register(BATCH_KIND, Batch, self._answer_batch)
+        router.register(_INVITATION_KIND, Invitation, self._answer_invitation)
 
     def adopt(self, earlier: tuple[Placement, ...]) -> None:
         """Takes over the view's newest list and the earlier ones."""
@@ -118,6 +135,9 @@
 
     async def release(self) -> None:
         """Gives all leases up, so that their shards move without a gap."""
+        moment = now()
+        shards = range(self._view.terms.shard_count)
+        held = [one for one in shards if self._coordinator.holds(one, moment)]
         await asyncio.gather(
             *(
                 self._send_batch(vm, messages, for_witness=False)
@@ -126,6 +146,36 @@
                 ).items()
             )
         )
+        await self._invite_successors(held)
+
+    async def _invite_successors(self, shards: list[int]) -> None:
+        invited: defaultdict[str, list[int]] = defaultdict(list)
+        for shard in shards:
+            ranked = self._view.placement.candidates(shard)
+            others = (vm for vm in ranked if vm != self._view.vm)
+            for vm in itertools.islice(others, 1):
+                invited[vm].append(shard)
+        await asyncio.gather(
+            *(
+                self._peers.ask(
+                    vm,
+                    _INVITATION_KIND,
+                    Invitation(tuple(given_up)),
+                    InvitationReply,
+                    _BATCH_TIMEOUT_SECONDS,
+                )
+                for vm, given_up in invited.items()
+            )
+        )
+
+    async def _answer_invitation(
+        self,
+        sender: str,
+        invitation: Invitation,
+    ) -> InvitationReply:
+        for shard in invitation.shards:
+            self._coordinator.invite(shard, now())
+        return InvitationReply(self._view.vm)
 
     async def ask_witness(
         self,
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/held_cells.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/held_cells.py
@@ -7,12 +7,14 @@
 import asyncio
 import random
 from collections.abc import Iterable
+from dataclasses import asdict
 from typing import Final
 
 from attrs import define, field, frozen
 from jacinthcroft_config import Service
 from jacinthcroft_decisions.traffic import (
     Cell,
+    CellEvent,
     CellHandover,
     Permit,
     PermitAsk,
@@ -21,6 +23,7 @@
     PermitReport,
     QueueFull,
     ReportReply,
+    TargetEjected,
     TargetView,
 )
 from jacinthcroft_http import now
@@ -31,7 +34,7 @@
     CoordinationService,
 )
 from jacinthcroft_daemon.internal.sharing.probes import Prober
-from jacinthcroft_daemon.internal.telemetry import log_event
+from jacinthcroft_daemon.internal.telemetry import Count, Metrics, log_event
 
 ASK_KIND: Final = 'permit'
 REPORT_KIND: Final = 'reports'
@@ -99,6 +102,7 @@
         coordination: CoordinationService,
         prober: Prober,
         peers: PeerClient,
+        metrics: Metrics,
         incarnation: str,
     ) -> None:
         """Judges under the coordination service's leases."""
@@ -106,6 +110,7 @@
         self._coordination = coordination
         self._prober = prober
         self._peers = peers
+        self._metrics = metrics
         self._incarnation = incarnation
         self._random = random.Random()
         self._cells: dict[str, _HeldCell] = {}
@@ -139,7 +144,7 @@
         return handovers
 
     async def hand_over(self, handovers: Iterable[CellHandover]) -> None:
-        """Tells the next candidates, once the leases are given up."""
+        """Tells the next candidates, before the leases are given up."""
         await asyncio.gather(
             *(
                 self._peers.ask(
@@ -226,8 +231,6 @@
         handover: CellHandover,
     ) -> HandoverReply:
         self._handovers[handover.cell] = _ReceivedHandover(handover, now())
-        shard = self._view.placement.shard_of(f'cell:{handover.cell}')
-        self._coordination.coordinator.invite(shard, now())
         return HandoverReply(self._view.vm)
 
     def _take_handover(
@@ -249,6 +252,14 @@
             self._prober.start(held.service, wanted, held.cell)
         self._pump(name, held)
 
+    def _tell(self, cell: str, event: CellEvent) -> None:
+        if isinstance(event, TargetEjected):
+            self._metrics.count(Count.EJECTIONS, cell)
+        # The class names read as events: TargetEjected, ColdStartNoticed...
+        fields = asdict(event)
+        fields.pop('happened_at')
+        log_event('warning', type(event).__name__, cell=cell, **fields)
+
     def _held(self, name: str) -> _HeldCell | None:
         shard = self._view.placement.shard_of(f'cell:{name}')
         coordinator = self._coordination.coordinator
@@ -315,9 +326,4 @@
                 refusal = PermitRefusal('no-capacity')
                 waiting.set_result(PermitReply(refusal=refusal))
         for event in held.cell.events():
-            log_event(
-                'warning',
-                type(event).__name__,
-                cell=name,
-                target=event.target,
-            )
+            self._tell(name, event)
--- a/packages/daemon/src/jacinthcroft_daemon/internal/telemetry/metrics.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/telemetry/metrics.py
@@ -112,7 +112,7 @@
     def _histograms(self) -> otel_export.Metric:
         return otel_export.Metric(
             name=REQUEST_SECONDS,
-            description='Time from a request to the end of its answer.',
+            description='Time from a request to the head of its answer.',
             unit='s',
             data=otel_export.Histogram(
                 [self._point(*series) for series in self._series],
--- a/packages/daemon/src/jacinthcroft_daemon/main.py
+++ b/packages/daemon/src/jacinthcroft_daemon/main.py
@@ -9,6 +9,7 @@
 from jacinthcroft_config import Faults, Settings, load_settings
 
 from jacinthcroft_daemon.internal.app import VmProcess
+from jacinthcroft_daemon.internal.telemetry import set_up_logging
 
 _EXIT_BAD_INPUT = 2
 
@@ -24,6 +25,7 @@
     secret = _read_secret(arguments.settings, settings)
     if secret is None:
         return _EXIT_BAD_INPUT
+    set_up_logging(settings.vm.name, settings.log.level.value)
     asyncio.run(_serve(settings, secret))
     return 0
 
