Send a streamed answer's head with its first chunk

Cause: a relayed answer whose body is here already left in two writes. Change: the head waits for the rest of the loop's turn, no longer.

--- a/packages/http/src/jacinthcroft_http/internal/response_writer.py
+++ b/packages/http/src/jacinthcroft_http/internal/response_writer.py
@@ -1,5 +1,6 @@
 """Writes one response in the framing that its request allows."""
 
+import asyncio
 import contextlib
 from collections.abc import AsyncIterator
 from typing import Final
@@ -23,6 +24,7 @@
         self._wire = wire
         self._is_head = is_head
         self._is_last = is_last
+        self._held = b''
 
     async def write(self, response: Response) -> None:
         """Writes a whole response and waits until the wire has taken it.
@@ -53,19 +55,37 @@
     ) -> None:
         async with _closing(body):
             headers = response.headers.to_wire()
-            await self._wire.write(self._encode_head(response, headers))
+            self._hold(self._encode_head(response, headers))
             if self._allows_body(response):
                 await self._write_chunks(body)
-        await self._wire.write(self._wire.send(h11.EndOfMessage()))
+        await self._write_event(h11.EndOfMessage())
 
     async def _write_chunks(self, body: AsyncIterator[bytes]) -> None:
         try:
             async for chunk in body:
-                await self._wire.write(self._wire.send(h11.Data(data=chunk)))
+                await self._write_event(h11.Data(data=chunk))
         except BodyCut as cut:
             # The framing stays unfinished, so that the caller sees the cut.
             raise ConnectionAbortedError('answer cut') from cut
 
+    async def _write_event(self, event: h11.Event) -> None:
+        await self._wire.write(self._take_held() + self._wire.send(event))
+
+    def _hold(self, head: bytes) -> None:
+        # A first chunk that is here already leaves together with the head;
+        # one that is waited for does not keep the head back.
+        self._held = head
+        asyncio.get_running_loop().call_soon(self._release)
+
+    def _release(self) -> None:
+        if self._held:
+            self._wire.transport.write(self._take_held())
+
+    def _take_held(self) -> bytes:
+        held = self._held
+        self._held = b''
+        return held
+
     def _encode_head(
         self,
         response: Response,
--- a/tests/cover/http/test_http_server.py
+++ b/tests/cover/http/test_http_server.py
@@ -214,6 +214,24 @@
     assert len(sent) < 400
 
 
+@in_loop
+async def test_a_body_that_is_waited_for_does_not_keep_the_head_back() -> None:
+    gate = asyncio.Event()
+
+    async def late() -> AsyncIterator[bytes]:
+        await gate.wait()
+        yield b'abc'
+
+    async def stream(_: IncomingRequest) -> Response:
+        return Response(200, [('content-length', '3')], late())
+
+    async with serving(stream) as bench, bench.raw() as caller:
+        await caller.send(LAST)
+        assert b'200' in await caller.read_head()
+        gate.set()
+        assert await caller.read_all() == b'abc'
+
+
 @in_loop
 async def test_an_answer_that_breaks_off_never_looks_whole() -> None:
     async def cut() -> AsyncIterator[bytes]:
