Answers at once, unframed answers refused, slow bodies bounded

Cause (review of the HTTP side): an answer without framing looked whole when its target died; a trickled body held a place for ever; a body broken off midway was refused as not-run. Change: each refused honestly; bodies that came with the head are passed on in one write.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/app.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/app.py
@@ -223,6 +223,7 @@
     async def _drain(self) -> None:
         self._operators.is_draining = True
         log_event('info', 'draining', vm=self._settings.vm.name)
+        self._caller_server.stop_keep_alive()
         # The balancer sees the readiness drop within this time; whatever it
         # still sends is served.
         await asyncio.sleep(self._settings.tunables.drain_notice_ms / 1000)
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/attempt.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/attempt.py
@@ -42,11 +42,14 @@
 
 @dataclass(frozen=True)
 class Delivered:
-    """The target's answer to this very request; the body is not read yet."""
+    """The target's answer to this very request.
+
+    The body is in hand where it came with the head, else still to be read.
+    """
 
     status: int
     headers: Headers
-    body: AsyncIterator[bytes]
+    body: bytes | AsyncIterator[bytes]
 
 
 @dataclass(frozen=True)
@@ -117,7 +120,7 @@
             return self._not_sent(outcome, ticket, started_at)
         if isinstance(outcome, Interrupted):
             return self._lost(outcome, ticket, started_at)
-        return self._interpret(work, outcome, ticket, started_at)
+        return await self._interpret(work, outcome, ticket, started_at)
 
     def _may_send(self, work: Work, ticket: Ticket) -> bool:
         moment = now()
@@ -157,7 +160,7 @@
             f'{outcome.reason}: {outcome.detail}',
         )
 
-    def _interpret(
+    async def _interpret(
         self,
         work: Work,
         answer: Answer,
@@ -178,14 +181,24 @@
             answer.close()
             self._finish(ticket, RunOutcome.SHED, started_at, answer)
             return NotSent('the target shed the request')
-        kept = strip_hop_by_hop(headers).without(*_OWN_ANSWER_HEADERS)
+        if not answer.is_framed:
+            # Its end is the connection's end, and a target that dies in the
+            # middle would pass for one that has finished.
+            answer.close()
+            self._finish(ticket, RunOutcome.RESET, started_at, answer)
+            return Lost(
+                ticket.permit.target,
+                RunOutcome.RESET,
+                'the answer does not tell where it ends',
+            )
+        body = ReportedBody(
+            answer,
+            lambda end: self._finish(ticket, end, started_at, answer),
+        )
         return Delivered(
             answer.status,
-            kept,
-            ReportedBody(
-                answer,
-                lambda end: self._finish(ticket, end, started_at, answer),
-            ),
+            strip_hop_by_hop(headers).without(*_OWN_ANSWER_HEADERS),
+            await body.at_once(),
         )
 
     def _finish(
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/callers.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/callers.py
@@ -1,5 +1,6 @@
 """The callers' port: one request in, its whole answer or a refusal out."""
 
+import asyncio
 import secrets
 from typing import Final
 
@@ -17,7 +18,13 @@
 from jacinthcroft_daemon.internal.pipeline.runner import Finished, Runner
 from jacinthcroft_daemon.internal.sharing.quarantine import QuarantineService
 from jacinthcroft_decisions.traffic import fingerprint
-from jacinthcroft_http import BadRequest, Headers, IncomingRequest, Response
+from jacinthcroft_http import (
+    BadRequest,
+    Headers,
+    IncomingRequest,
+    Response,
+    now,
+)
 
 _REQUEST_ID_BYTES: Final = 8
 _RETRY_SOON_SECONDS: Final = 1.0
@@ -72,7 +79,11 @@
             bad_request.reason,
             Reason.MALFORMED_REQUEST,
         )
-        refusal = Refusal(reason, Outcome.NOT_RUN, bad_request.detail)
+        outcome = Outcome.NOT_RUN
+        if bad_request.is_in_body:
+            # The work was under way when its body broke off.
+            outcome = Outcome.UNKNOWN
+        refusal = Refusal(reason, outcome, bad_request.detail)
         return self._refuse(request_id, refusal, None)
 
     async def _run(
@@ -80,19 +91,21 @@
         work: Work,
         request: IncomingRequest,
     ) -> Finished | Refusal:
-        body = await hold_body(request)
+        try:
+            async with asyncio.timeout(max(work.deadline - now(), 0)):
+                body = await hold_body(request)
+        except TimeoutError:
+            return _body_too_slow(work)
         mark = fingerprint(
             request.method,
             request.target,
             work.team_name,
             body.digest,
         )
+        if self._quarantine.is_quarantined(mark):
+            return _quarantined(_before_claim(work))
         if work.route.is_idempotent:
-            if self._quarantine.is_quarantined(mark):
-                return _quarantined(Outcome.NOT_RUN)
             return await self._runner.run(work, request, body, mark)
-        if self._quarantine.is_quarantined(mark):
-            return _quarantined(Outcome.UNKNOWN)
         return await self._once.run(work, request, body, mark)
 
     def _refuse(
@@ -114,10 +127,23 @@
     )
 
 
+def _before_claim(work: Work) -> Outcome:
+    # An earlier sending of the same key may have run.
+    return Outcome.NOT_RUN if work.route.is_idempotent else Outcome.UNKNOWN
+
+
+def _body_too_slow(work: Work) -> Refusal:
+    return Refusal(
+        Reason.DEADLINE_EXCEEDED,
+        _before_claim(work),
+        'the body did not come within the deadline',
+    )
+
+
 def _overloaded(work: Work) -> Refusal:
     return Refusal(
         Reason.OVERLOADED,
-        Outcome.NOT_RUN if work.route.is_idempotent else Outcome.UNKNOWN,
+        _before_claim(work),
         'this VM runs as many requests as it bears',
         _RETRY_SOON_SECONDS,
     )
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/once.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/once.py
@@ -95,22 +95,13 @@
         return await self._recorded(claim, finished)
 
     async def _recorded(self, claim: Claim, finished: Finished) -> Finished:
-        held = bytearray()
-        chunks = aiter(finished.body)
-        async for chunk in chunks:
-            held.extend(chunk)
-            if len(held) > RECORDED_ANSWER_BYTES:
-                rest = _chain(bytes(held), chunks)
-                return Finished(finished.status, finished.headers, rest)
-        self._claims.settle_answered(
-            claim,
-            RecordedAnswer(
-                finished.status,
-                tuple(Header(*pair) for pair in finished.headers),
-                base64.b64encode(held).decode(),
-            ),
-        )
-        return Finished(finished.status, finished.headers, _whole(bytes(held)))
+        body = await _gather(finished.body)
+        if isinstance(body, bytes) and len(body) <= RECORDED_ANSWER_BYTES:
+            headers = tuple(Header(*pair) for pair in finished.headers)
+            encoded = base64.b64encode(body).decode()
+            answer = RecordedAnswer(finished.status, headers, encoded)
+            self._claims.settle_answered(claim, answer)
+        return Finished(finished.status, finished.headers, body)
 
 
 def _without_claim(verdict: ClaimVerdict) -> Finished | Refusal:
@@ -120,7 +111,7 @@
         return Finished(
             answer.status,
             (*headers, ('idempotency-replayed', 'true')),
-            _whole(base64.b64decode(answer.body_base64)),
+            base64.b64decode(answer.body_base64),
         )
     if isinstance(verdict, ClaimRunning):
         return Refusal(
@@ -144,8 +135,18 @@
     )
 
 
-async def _whole(body: bytes) -> AsyncIterator[bytes]:
-    yield body
+async def _gather(
+    body: bytes | AsyncIterator[bytes],
+) -> bytes | AsyncIterator[bytes]:
+    """Returns a short body whole; a longer one goes on as a stream."""
+    if isinstance(body, bytes):
+        return body
+    held = bytearray()
+    async for chunk in body:
+        held.extend(chunk)
+        if len(held) > RECORDED_ANSWER_BYTES:
+            return _chain(bytes(held), body)
+    return bytes(held)
 
 
 async def _chain(
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/reported_body.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/reported_body.py
@@ -28,6 +28,12 @@
         if answer.is_complete:
             self._end(self._whole_outcome)
 
+    async def at_once(self) -> 'bytes | ReportedBody':
+        """Returns the whole body if it has come already, else itself."""
+        if not self._answer.is_complete:
+            return self
+        return b''.join([chunk async for chunk in self])
+
     async def __anext__(self) -> bytes:
         """Returns the next chunk.
 
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/runner.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/runner.py
@@ -50,7 +50,7 @@
 
     status: int
     headers: tuple[tuple[str, str], ...]
-    body: AsyncIterator[bytes]
+    body: bytes | AsyncIterator[bytes]
 
 
 class Runner:
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/coordination.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/coordination.py
@@ -152,9 +152,9 @@
         invited: defaultdict[str, list[int]] = defaultdict(list)
         for shard in shards:
             ranked = self._view.placement.candidates(shard)
-            others = (vm for vm in ranked if vm != self._view.vm)
-            for vm in itertools.islice(others, 1):
-                invited[vm].append(shard)
+            successor = next((vm for vm in ranked if vm != self._view.vm), None)
+            if successor is not None:
+                invited[successor].append(shard)
         await asyncio.gather(
             *(
                 self._peers.ask(
