--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/coordination.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/coordination.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import itertools
 import time
 from collections import defaultdict
 from collections.abc import Iterable
