--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/permits.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/permits.py
@@ -148,7 +148,9 @@
             now(),
         )
         self._serve_waiters(desk)
-        self._report(cell, desk)
+        if desk.purse.has_urgent_report:
+            # A slot waits for its next user; what is kept can be told later.
+            self._report(cell, desk)
 
     async def run(self) -> None:
         """Lets unused permits expire and reports them, for ever."""
