--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell_health.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell_health.py
@@ -103,7 +103,7 @@
             return
         if not health.paths.has_tripped(vm, now):
             return
-        verdict = health.paths.verdict(now)
+        verdict = health.paths.verdict_on(vm, now)
         if not verdict.is_target:
             self._block_paths(target, verdict, now)
 
@@ -122,7 +122,7 @@
         health = self.roster[target]
         names = health.scores.tripped(now)
         if all(DETECTORS[name].blames_path for name in names):
-            verdict = health.paths.verdict(now)
+            verdict = health.paths.verdict(health.scores.onset(names))
             if not verdict.is_target:
                 self._block_paths(target, verdict, now)
                 health.scores.restart(names, 0, now)
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/evidence.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/evidence.py
@@ -10,7 +10,7 @@
 
 SICK_BAD_SHARE = 0.3
 MIN_USUAL_BAD_SHARE = 0.02
-TRIP_SCORE = 8.0
+TRIP_SCORE = 7.5
 SCORE_HALF_LIFE_SECONDS = 10.0
 _MAX_SCORE = 16.0
 _MAX_USUAL_BAD_SHARE = 0.6
@@ -26,6 +26,7 @@
         """Starts with nothing against the target."""
         self._score: float = 0
         self._scored_at: float = 0
+        self._onset: float = 0
         self._bad_share: float = 0
 
     @property
@@ -33,6 +34,11 @@
         """The smoothed share of bad signs."""
         return self._bad_share
 
+    @property
+    def onset(self) -> float:
+        """When the score last left zero: the likely time of the change."""
+        return self._onset
+
     def value_at(self, now: float) -> float:
         """Returns the score, which fades when nothing new is seen."""
         if not self._score:
@@ -55,6 +61,8 @@
         if is_bad:
             weight = math.log(sick / usual)
         moved = self.value_at(now) + weight
+        if not self._score:
+            self._onset = now
         self._score = min(_MAX_SCORE, max(0, moved))
         self._scored_at = now
         self._bad_share += _SHARE_WEIGHT * (float(is_bad) - self._bad_share)
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/path_blame.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/path_blame.py
@@ -2,10 +2,11 @@
 
 Signs that the network can cause are kept by the VM that saw them. Only when
 several zones, or most of the VMs that lately used the target, agree is the
-target at fault; else the VMs (or the zone) that fail to reach it are.
+target at fault; else the VMs (or the zone) that fail to reach it are. What
+was seen before the fault began counts for nothing.
 """
 
-import math
+from collections import deque
 from random import Random
 
 from attrs import Factory, define, frozen
@@ -13,16 +14,12 @@
 from jacinthcroft_decisions.internal.traffic.backoff import Backoff
 from jacinthcroft_decisions.internal.traffic.evidence import EvidenceScore
 
-# Signs lose half of their weight in this time.
-SIGN_HALF_LIFE_SECONDS = 5.0
-_SIGN_MEMORY = 0.75
-_PROBATION_SIGNS = 3
-# A VM with less weight than this has not used the target lately.
-_MIN_WEIGHT = 0.25
 BLAMING_BAD_SHARE = 0.15
-_MIN_BAD_WEIGHT = 0.5
-_MIN_REST_WEIGHT = 1.0
 FORGET_VM_SECONDS = 120.0
+# The others' answers within this time clear the target of one VM's fault.
+VERDICT_WINDOW_SECONDS = 1.0
+_SIGNS_KEPT = 16
+_PROBATION_SIGNS = 3
 
 
 @frozen
@@ -34,45 +31,55 @@
     zones: frozenset[str] = frozenset()
 
 
+@frozen
+class _Sign:
+    is_bad: bool
+    seen_at: float
+
+
 @define
 class _VmSigns:
-    """What one VM saw of the target, with fading weights."""
+    """What one VM saw of the target lately."""
 
     zone: str
     score: EvidenceScore = Factory(EvidenceScore)
-    good: float = 0
-    bad: float = 0
-    noted_at: float = 0
-    is_last_bad: bool = False
-
-    def fade(self, now: float) -> None:
-        """Lowers the weights to those of now."""
-        elapsed = max(0, now - self.noted_at)
-        self._scale(math.pow(0.5, elapsed / SIGN_HALF_LIFE_SECONDS))
-        self.noted_at = max(now, self.noted_at)
-
-    def count(self, *, is_bad: bool) -> None:
-        """Counts one sign; older ones matter less with each."""
-        self._scale(_SIGN_MEMORY)
-        self.is_last_bad = is_bad
-        if is_bad:
-            self.bad += 1
-        else:
-            self.good += 1
-
-    def is_reporting(self) -> bool:
-        """Whether the VM used the target lately."""
-        return self.good + self.bad >= _MIN_WEIGHT
+    signs: deque[_Sign] = Factory(lambda: deque(maxlen=_SIGNS_KEPT))
+
+    @property
+    def noted_at(self) -> float:
+        """When the VM last saw anything."""
+        return self.signs[-1].seen_at
+
+    @property
+    def is_last_bad(self) -> bool:
+        """Whether the VM's last use went badly."""
+        return self.signs[-1].is_bad
+
+    @property
+    def was_tripped(self) -> bool:
+        """Whether the VM's last sign completed its own evidence."""
+        return self.score.is_tripped(self.noted_at)
+
+    def tally_since(self, since: float) -> '_Tally':
+        """Counts what the VM saw from a time on."""
+        verdicts = [sign.is_bad for sign in self.signs if sign.seen_at >= since]
+        return _Tally(self.zone, bad=sum(verdicts), seen=len(verdicts))
+
+
+@frozen
+class _Tally:
+    """One VM's bad signs among all that it saw."""
+
+    zone: str
+    bad: int
+    seen: int
 
     def is_blaming(self) -> bool:
         """Whether what the VM saw speaks against the target."""
-        if self.bad < _MIN_BAD_WEIGHT:
-            return False
-        return self.bad >= BLAMING_BAD_SHARE * (self.bad + self.good)
+        return self.bad > 0 and self.bad >= BLAMING_BAD_SHARE * self.seen
 
-    def _scale(self, factor: float) -> None:
-        self.good *= factor
-        self.bad *= factor
+
+_Tallies = dict[str, _Tally]
 
 
 @define
@@ -118,23 +125,28 @@
             block.is_on_probation(now) for block in self._blocks(vm, signs.zone)
         )
 
-    def verdict(self, now: float) -> PathVerdict:
-        """Judges by what all VMs saw lately.
+    def verdict_on(self, vm: str, now: float) -> PathVerdict:
+        """Judges the evidence of one VM."""
+        onset = self._signs[vm].score.onset
+        return self.verdict(min(onset, now - VERDICT_WINDOW_SECONDS))
+
+    def verdict(self, since: float) -> PathVerdict:
+        """Judges by what all VMs saw since the fault began.
 
         A few VMs, or one zone, are at fault only if nothing speaks against
         the target once what they saw is left out.
         """
-        reporting = self._reporting(now)
-        blaming = {vm for vm in reporting if reporting[vm].is_blaming()}
-        if 2 * len(blaming) > len(reporting):
+        tallies = self._tallies(since)
+        blaming = {vm for vm in tallies if tallies[vm].is_blaming()}
+        if 2 * len(blaming) > len(tallies):
             return PathVerdict(is_target=True)
-        suspects = self._suspect_vms(reporting, now)
-        zone = _worst_zone(reporting)
+        suspects = self._suspect_vms(tallies)
+        zone = _worst_zone(tallies)
         is_zone_known = zone in self._blocked_zones
-        if _is_fine(reporting, suspects) and not is_zone_known:
+        if _is_fine(tallies, suspects) and not is_zone_known:
             return PathVerdict(is_target=False, vms=frozenset(suspects))
-        in_zone = {vm for vm in reporting if reporting[vm].zone == zone}
-        if _is_fine(reporting, in_zone):
+        in_zone = {vm for vm in tallies if tallies[vm].zone == zone}
+        if _is_fine(tallies, in_zone):
             return PathVerdict(is_target=False, zones=frozenset((zone,)))
         return PathVerdict(is_target=True)
 
@@ -149,9 +161,8 @@
     ) -> None:
         """Takes in what one VM saw."""
         signs = self._signs.setdefault(vm, _VmSigns(zone))
-        signs.fade(now)
         signs.score.note(is_bad=is_bad, usual_share=usual_share, now=now)
-        signs.count(is_bad=is_bad)
+        signs.signs.append(_Sign(is_bad, now))
         for block in self._blocks(vm, zone):
             if not is_bad and block.until <= now:
                 block.good_signs += 1
@@ -181,23 +192,16 @@
                 if block.until < oldest:
                     blocks.pop(path)
 
-    def _reporting(self, now: float) -> dict[str, _VmSigns]:
-        for signs in self._signs.values():
-            signs.fade(now)
-        return {
-            vm: known
-            for vm, known in self._signs.items()
-            if known.is_reporting()
+    def _tallies(self, since: float) -> _Tallies:
+        tallies = {
+            vm: known.tally_since(since) for vm, known in self._signs.items()
         }
+        return {vm: tally for vm, tally in tallies.items() if tally.seen}
 
-    def _suspect_vms(
-        self,
-        reporting: dict[str, _VmSigns],
-        now: float,
-    ) -> set[str]:
+    def _suspect_vms(self, tallies: _Tallies) -> set[str]:
         """The VM that saw the worst, and all that have evidence enough."""
-        worst = max(reporting, key=lambda vm: reporting[vm].bad, default=None)
-        tripped = {vm for vm in reporting if self.has_tripped(vm, now)}
+        worst = max(tallies, key=lambda vm: tallies[vm].bad, default=None)
+        tripped = {vm for vm in tallies if self._signs[vm].was_tripped}
         return tripped if worst is None else tripped | {worst}
 
     def _blocks(self, vm: str, zone: str) -> list[_Block]:
@@ -216,16 +220,16 @@
             block.until = now + block.backoff.next_pause(now, self._random)
 
 
-def _worst_zone(reporting: dict[str, _VmSigns]) -> str:
-    weights: dict[str, float] = {}
-    for signs in reporting.values():
-        weights[signs.zone] = weights.get(signs.zone, 0) + signs.bad
-    return max(weights, key=weights.__getitem__, default='')
+def _worst_zone(tallies: _Tallies) -> str:
+    bad: dict[str, int] = {}
+    for tally in tallies.values():
+        bad[tally.zone] = bad.get(tally.zone, 0) + tally.bad
+    return max(bad, key=bad.__getitem__, default='')
 
 
-def _is_fine(reporting: dict[str, _VmSigns], left_out: set[str]) -> bool:
+def _is_fine(tallies: _Tallies, left_out: set[str]) -> bool:
     """Whether the rest uses the target, and without more than noise."""
-    rest = [reporting[vm] for vm in reporting if vm not in left_out]
-    bad = sum(signs.bad for signs in rest)
-    seen = bad + sum(signs.good for signs in rest)
-    return seen >= _MIN_REST_WEIGHT and bad < BLAMING_BAD_SHARE * seen
+    rest = [tallies[vm] for vm in tallies if vm not in left_out]
+    bad = sum(tally.bad for tally in rest)
+    seen = sum(tally.seen for tally in rest)
+    return seen > 0 and bad < BLAMING_BAD_SHARE * seen
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/scoreboard.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/scoreboard.py
@@ -39,6 +39,10 @@
         """Returns the detectors whose evidence suffices for an ejection."""
         return self._from(TRIP_SCORE, now)
 
+    def onset(self, names: tuple[str, ...]) -> float:
+        """Returns when the first of some detectors began to find fault."""
+        return min(self._scores[name].onset for name in names)
+
     def bad_share(self, name: str) -> float:
         """Returns the share of bad signs that one detector sees."""
         return self._scores[name].bad_share
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/target_pool.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/target_pool.py
@@ -162,7 +162,8 @@
         if 'slowness' not in health.scores.tripped(now):
             return
         is_step = known.latencies.has_stepped_up
-        if is_step and health.paths.verdict(now).is_target:
+        onset = health.scores.onset(('slowness',))
+        if is_step and health.paths.verdict(onset).is_target:
             known.turn_cold()
             # It stays suspect, so that others are preferred for a while.
             health.scores.restart(('slowness',), SUSPECT_SCORE, now)
