Notice runs that hang before their deadline tells

Cause: a target that hangs was noticed only by passed deadlines. Change: the holder counts permits of which nothing was heard; again and again only when several VMs wait, since a lost VM looks the same.

--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell_norm.py
@@ -0,0 +1,21 @@
+"""What is usual in a cell: derived from all its targets' latencies."""
+
+import statistics
+from collections.abc import Iterable
+
+from jacinthcroft_decisions.internal.traffic.detectors import CellNorm
+from jacinthcroft_decisions.internal.traffic.latency_track import LatencyTrack
+
+STALL_FACTOR = 4.0
+# Pauses of processes and networks make shorter delays everywhere.
+MIN_STALL_SECONDS = 0.02
+
+
+def norm_of(latencies: Iterable[LatencyTrack]) -> CellNorm:
+    """Returns the cell's norm by the median of its targets."""
+    quantiles = [track.high_quantile for track in latencies if track.is_known]
+    if not quantiles:
+        return CellNorm()
+    usual = statistics.median(quantiles)
+    stall = max(MIN_STALL_SECONDS, STALL_FACTOR * usual)
+    return CellNorm(usual_seconds=usual, stall_seconds=stall)
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/slot_table.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/slot_table.py
@@ -25,7 +25,9 @@
 class _Hold:
     use: PermitUse
     free_at: float
+    heard_at: float
     last_run_number: int = 0
+    is_overdue: bool = False
 
 
 class SlotTable:
@@ -59,18 +61,24 @@
 
     def hold(self, permit_id: str, use: PermitUse, free_at: float) -> None:
         """Counts a new permit until its return, at most until `free_at`."""
-        self._holds[permit_id] = _Hold(use, free_at + CLOCK_MARGIN_SECONDS)
+        self._holds[permit_id] = _Hold(
+            use=use,
+            free_at=free_at + CLOCK_MARGIN_SECONDS,
+            heard_at=use.granted_at,
+        )
 
     def renew(self, permit_id: str, now: float, free_at: float) -> None:
         """Counts an outstanding permit for longer."""
         hold = self._holds[permit_id]
         hold.use = PermitUse(hold.use.vm, hold.use.zone, now)
+        hold.heard_at = now
+        hold.is_overdue = False
         hold.free_at = max(hold.free_at, free_at + CLOCK_MARGIN_SECONDS)
 
     def is_new_run(self, permit_id: str, run_number: int) -> bool:
-        """Whether a report's run was not seen; unnumbered ones are new."""
+        """Whether a report's run was not counted; unnumbered ones are new."""
         hold = self._holds.get(permit_id)
-        if hold is None:
+        if hold is None or hold.is_overdue:
             return False
         return not run_number or run_number > hold.last_run_number
 
@@ -79,6 +87,26 @@
         hold = self._holds[permit_id]
         hold.last_run_number = max(hold.last_run_number, run_number)
 
+    def take_overdue(self, now: float, limit: float) -> tuple[PermitUse, ...]:
+        """Returns the uses of which nothing was heard for `limit` seconds.
+
+        Each counts once, and again after as long when several VMs wait: a
+        lost VM looks the same, and is no fault of the target.
+        """
+        late = [
+            hold for hold in self._holds.values() if now - hold.heard_at > limit
+        ]
+        is_shared = len({known.use.vm for known in self._holds.values()}) > 1
+        overdue = [
+            late_one
+            for late_one in late
+            if is_shared or not late_one.is_overdue
+        ]
+        for waiting in overdue:
+            waiting.is_overdue = True
+            waiting.heard_at = now
+        return tuple(each.use for each in overdue)
+
     def release(self, permit_id: str) -> None:
         """Frees the slot of a returned permit."""
         self._holds.pop(permit_id, None)
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/target_pool.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/target_pool.py
@@ -4,7 +4,6 @@
 of their health (`cell_health`).
 """
 
-import statistics
 from collections import deque
 from collections.abc import Collection
 from random import Random
@@ -12,26 +11,24 @@
 from jacinthcroft_config import Service, Target, TargetState
 
 from jacinthcroft_decisions.internal.traffic.cell_health import CellHealth
+from jacinthcroft_decisions.internal.traffic.cell_norm import norm_of
 from jacinthcroft_decisions.internal.traffic.cell_outcomes import (
     CellEvent,
     ColdStartNoticed,
     TargetEjected,
 )
 from jacinthcroft_decisions.internal.traffic.cell_target import CellTarget
-from jacinthcroft_decisions.internal.traffic.detectors import (
-    CellNorm,
-    RunSample,
-)
+from jacinthcroft_decisions.internal.traffic.detectors import RunSample
 from jacinthcroft_decisions.internal.traffic.permit_messages import (
     PermitReport,
+    RunOutcome,
 )
 from jacinthcroft_decisions.internal.traffic.scoreboard import SUSPECT_SCORE
 from jacinthcroft_decisions.internal.traffic.slot_table import PermitUse
 from jacinthcroft_decisions.internal.traffic.target_health import Standing
 
-STALL_FACTOR = 4.0
-# Pauses of processes and networks make shorter delays everywhere.
-MIN_STALL_SECONDS = 0.02
+# An idle permit is back within this time, so one that is not is in use.
+OVERDUE_SECONDS = 1.25
 NORM_INTERVAL_SECONDS = 0.25
 _MAX_EVENTS = 1000
 # After these the target's process has probably been started anew.
@@ -143,9 +140,12 @@
                 self.targets.pop(name)
         if now - self._norm_at >= NORM_INTERVAL_SECONDS:
             self._norm_at = now
-            self._refresh_norm()
+            tracks = (each.latencies for each in self.targets.values())
+            self.health.norm = norm_of(tracks)
             self._sync_health(now)
             self.health.tick(now)
+            for active in tuple(self.health.roster):
+                self._note_overdue(active, now)
 
     def drain_events(self) -> tuple[CellEvent, ...]:
         """Returns what happened since the last call."""
@@ -169,16 +169,19 @@
             health.scores.restart(('slowness',), SUSPECT_SCORE, now)
             self._tell(ColdStartNoticed(name, 'latency', now))
 
-    def _refresh_norm(self) -> None:
-        quantiles = [
-            known.latencies.high_quantile
-            for known in self.targets.values()
-            if known.latencies.is_known
-        ]
-        if quantiles:
-            usual = statistics.median(quantiles)
-            stall = max(MIN_STALL_SECONDS, STALL_FACTOR * usual)
-            self.health.norm = CellNorm(usual, stall)
+    def _note_overdue(self, name: str, now: float) -> None:
+        """Counts runs that stall before their deadline tells."""
+        longest = OVERDUE_SECONDS + self.health.norm.stall_seconds
+        for use in self.targets[name].slots.take_overdue(now, longest):
+            sample = RunSample(
+                vm=use.vm,
+                zone=use.zone,
+                outcome=RunOutcome.STALLED,
+                latency=now - use.granted_at,
+                granted_at=use.granted_at,
+            )
+            self.health.note(name, sample, now)
+            self.health.judge(name, use.vm, now)
 
     def _sync_health(self, now: float) -> None:
         active = {name for name in self._listed if self.is_open(name, now)}
--- a/tests/cover/traffic/builders.py
+++ b/tests/cover/traffic/builders.py
@@ -16,6 +16,7 @@
 from jacinthcroft_decisions.traffic import (
     Cell,
     CellEvent,
+    Permit,
     PermitAsk,
     PermitReport,
     RunOutcome,
@@ -126,22 +127,35 @@
             return None
         permit = granted[0].permit
         self.now += FAST
+        outcome = sick.get(permit.target, RunOutcome.ANSWERED)
+        took = (slow or {}).get(permit.target, latency)
+        self.answer(permit, vm, outcome, took, boot_id)
+        self.events.extend(self.cell.events())
+        self.used.append(permit.target)
+        return permit.target
+
+    def answer(
+        self,
+        permit: Permit,
+        vm: str,
+        outcome: RunOutcome = RunOutcome.ANSWERED,
+        latency: float = FAST,
+        boot_id: str | None = None,
+    ) -> None:
+        """Reports a run and gives its permit back."""
         report = PermitReport(
             permit_id=permit.id,
             cell=permit.cell,
             vm=vm,
             target=permit.target,
-            outcome=sick.get(permit.target, RunOutcome.ANSWERED),
-            latency=(slow or {}).get(permit.target, latency),
+            outcome=outcome,
+            latency=latency,
             is_returned=True,
             boot_id=boot_id,
             is_draining=False,
             run_number=1,
         )
         self.cell.report(report, self.now)
-        self.events.extend(self.cell.events())
-        self.used.append(permit.target)
-        return permit.target
 
     def run_many(
         self,
--- a/tests/cover/traffic/test_target_health.py
+++ b/tests/cover/traffic/test_target_health.py
@@ -16,6 +16,7 @@
     FAST,
     VM_ZONES,
     Driver,
+    make_ask,
     make_service,
 )
 
@@ -64,6 +65,33 @@
     assert driver.conditions()['t2'] is TargetCondition.EJECTED
 
 
+def test_requests_that_hang_are_noticed_before_their_deadline() -> None:
+    driver = warm_driver()
+    for _ in range(30):
+        driver.now += 0.1
+        driver.cell.tick(driver.now)
+        for number in range(12):
+            vm = f'vm{number % 6}'
+            driver.cell.ask(make_ask(vm, VM_ZONES[number % 3]), driver.now)
+        for granted in driver.cell.grants(driver.now, driver.now + 3):
+            if granted.permit.target != 't2':
+                driver.answer(granted.permit, vm)
+    driver.events.extend(driver.cell.events())
+    assert {event.target for event in ejected(driver)} == {'t2'}
+    assert ejected(driver)[0].reasons == ('stalls',)
+
+
+def test_a_lost_vm_that_held_all_slots_blames_no_target() -> None:
+    driver = warm_driver()
+    driver.cell.ask(make_ask('lost'), driver.now)
+    driver.cell.ask(make_ask('lost'), driver.now)
+    driver.cell.grants(driver.now, driver.now + 3)
+    for _ in range(40):
+        driver.now += 0.1
+        driver.run_many(1)
+    assert not ejected(driver)
+
+
 def test_a_target_that_stalls_every_second_call_is_ejected() -> None:
     driver = warm_driver()
     for turn in range(60):
