Grant tokens to whoever asks until a VM had to be denied

Polls for a token counted as new requests, and demand reports of quiet VMs sum up to more than the truth. Change: purses count requests, not polls; ledgers split by demand only while a denied VM has a claim; half is left when a VM only stocks up.

--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_ledger.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_ledger.py
@@ -1,7 +1,8 @@
 """The tokens of one team, issued by the team's holder.
 
-The bucket bounds what all VMs together may spend. Demands reported by the
-VMs decide who gets how much of it while tokens are scarce.
+The bucket bounds what all VMs together may spend. Tokens go to whoever asks
+until a VM had to be denied; from then on demands reported by the VMs decide
+who gets how much, until everybody has what it needs.
 """
 
 from collections import deque
@@ -21,6 +22,10 @@
 DEMAND_MEMORY_SECONDS = 2.0
 # Grants of this long count when a scarce bucket is split.
 SHARE_WINDOW_SECONDS = 1.0
+# A VM that was denied tokens has a claim for so many times the wait that it
+# was told, and for its way back; later than that it has given up.
+CLAIM_FACTOR = 2.0
+CLAIM_MARGIN_SECONDS = 0.1
 MAX_RETRY_AFTER_SECONDS = 1.0
 # A VM that asks wants something, whatever rate it reports.
 MIN_DEMAND_RATE = 0.1
@@ -52,6 +57,7 @@
         self._held_since = held_since
         self._grants_made = 0
         self._demands: dict[str, _Demand] = {}
+        self._denied: dict[str, float] = {}
         self._recent: deque[_RecentGrant] = deque()
 
     @classmethod
@@ -90,9 +96,9 @@
         lifetime = min(self._bucket.terms.lifetime, lease_until - now)
         tokens = 0
         if lifetime > 0:
-            tokens = min(ask.wanted, self._fair_tokens(ask, now))
+            tokens = self._grantable(ask, now)
         if tokens < 1:
-            return TokenGrant(0, 0, self._retry_after(ask, now))
+            return TokenGrant(0, 0, self._retry_after(now))
         return self._issue(ask.vm, tokens, lifetime, now)
 
     def _issue(
@@ -108,39 +114,42 @@
         self._recent.append(_RecentGrant(vm, tokens, now))
         return TokenGrant(tokens, lifetime, 0, grant_id)
 
-    def _fair_tokens(self, ask: TokenAsk, now: float) -> int:
+    def _grantable(self, ask: TokenAsk, now: float) -> int:
         available = self._bucket.available(now)
-        if self._is_ample(ask, now):
-            return available
-        pool = available + sum(grant.tokens for grant in self._recent)
+        needed = _needed(ask)
+        # Half stays for others while this VM only stocks up.
+        tokens = min(ask.wanted, available, max(needed, available // 2))
+        if self._is_contended(ask.vm, now):
+            tokens = min(tokens, self._fair_tokens(ask, now))
+        if tokens < needed:
+            claim = CLAIM_FACTOR * self._retry_after(now)
+            self._denied[ask.vm] = now + claim + CLAIM_MARGIN_SECONDS
+        else:
+            self._denied.pop(ask.vm, None)
+        return tokens
+
+    def _is_contended(self, vm: str, now: float) -> bool:
+        """Whether another VM lately got less than it needed."""
+        return any(
+            now < until and other != vm for other, until in self._denied.items()
+        )
+
+    def _fair_tokens(self, ask: TokenAsk, now: float) -> int:
+        pool = self._bucket.available(now) + sum(
+            grant.tokens for grant in self._recent
+        )
         taken = sum(
             grant.tokens for grant in self._recent if grant.vm == ask.vm
         )
         fair = round(self._share(ask) * pool) - taken
-        if not taken or not self._is_overdrawn():
-            # Shares below one token must not round down to nothing, and
-            # while the demand is below the refill there is enough for all.
-            fair = max(fair, 1)
-        return min(available, fair)
-
-    def _is_ample(self, ask: TokenAsk, now: float) -> bool:
-        """Whether the others are served even if this VM gets all it wants."""
-        if self._is_overdrawn():
-            return False
-        left = self._bucket.level(now) - ask.wanted
-        return left >= self._bucket.terms.capacity / 2
-
-    def _is_overdrawn(self) -> bool:
-        return self._total_demand() > self._bucket.terms.refill
+        # Shares below one token must not round down to nothing.
+        return fair if taken else max(fair, 1)
 
     def _share(self, ask: TokenAsk) -> float:
-        total = self._total_demand()
-        return self._demands[ask.vm].rate / total if total > 0 else 1.0
-
-    def _total_demand(self) -> float:
-        return sum(demand.rate for demand in self._demands.values())
+        total = sum(demand.rate for demand in self._demands.values())
+        return self._demands[ask.vm].rate / total
 
-    def _retry_after(self, ask: TokenAsk, now: float) -> float:
+    def _retry_after(self, now: float) -> float:
         wait = self._bucket.seconds_until_token(now)
         if wait <= 0:
             # Tokens are there, and others have the better claim to them.
@@ -154,6 +163,12 @@
         for vm, demand in tuple(self._demands.items()):
             if demand.reported_at < oldest:
                 self._demands.pop(vm)
+                self._denied.pop(vm, None)
         horizon = now - SHARE_WINDOW_SECONDS
         while self._recent and self._recent[0].granted_at < horizon:
             self._recent.popleft()
+
+
+def _needed(ask: TokenAsk) -> int:
+    """How many tokens requests wait for."""
+    return ask.wanted if ask.waiting is None else ask.waiting
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_messages.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_messages.py
@@ -17,7 +17,8 @@
 
     `demand` is the VM's recent demand in requests per second. `unused`
     names earlier grants of which tokens were never spent; a return is
-    sent at most once.
+    sent at most once. Of the wanted tokens, requests wait for `waiting`
+    already; by default for all of them.
     """
 
     team_key: str
@@ -25,6 +26,7 @@
     wanted: int
     demand: float
     unused: tuple[TokenReturn, ...] = ()
+    waiting: int | None = None
 
 
 @frozen
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_purse.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_purse.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from collections import deque
 from typing import Final
 
 from attrs import define, frozen
@@ -20,6 +21,9 @@
 # The stock that the purse aims at, in seconds of the recent demand; it is
 # no more than half a lifetime, so that few tokens expire unspent.
 MAX_STOCK_SECONDS: Final = 0.5
+# A request that waits longer for its token counts as gone.
+PENDING_SECONDS: Final = 1.0
+MAX_PENDING_REQUESTS: Final = 1024
 # Below this expected need in the stock's time nothing is held in stock.
 MIN_EXPECTED_TOKENS: Final = 0.5
 
@@ -55,6 +59,7 @@
         self._demand: float = 0
         self._demand_at: float = 0
         self._unmet = 0
+        self._pending: deque[float] = deque(maxlen=MAX_PENDING_REQUESTS)
         self._stock_seconds = MAX_STOCK_SECONDS
 
     def demand(self, now: float) -> float:
@@ -75,8 +80,7 @@
         """
         stock = self.stock(now)
         demand = self.demand(now)
-        # Polling for a token is no new demand.
-        unmet = min(self._unmet, math.ceil(demand))
+        unmet = self._waiting(now)
         expected = demand * self._stock_seconds
         if expected < MIN_EXPECTED_TOKENS:
             return max(0, unmet - stock)
@@ -89,6 +93,7 @@
         """Counts one request that needs a token."""
         self._demand = self.demand(now) * DEMAND_WINDOW_SECONDS + 1
         self._demand_at = now
+        self._pending.append(now)
 
     def ask(self, team_key: str, vm: str, now: float) -> TokenAsk | None:
         """Builds the next question to the holder, or none.
@@ -101,7 +106,14 @@
             return None
         unused = tuple(self._unused)
         self._unused.clear()
-        return TokenAsk(team_key, vm, wanted, self.demand(now), unused)
+        return TokenAsk(
+            team_key=team_key,
+            vm=vm,
+            wanted=wanted,
+            demand=self.demand(now),
+            unused=unused,
+            waiting=self._waiting(now),
+        )
 
     def add(self, grant: TokenGrant, asked_at: float, now: float) -> None:
         """Takes in a grant; its lifetime counts from `asked_at`."""
@@ -119,6 +131,8 @@
         for lot in self._lots:
             if lot.tokens:
                 lot.tokens -= 1
+                if self._pending:
+                    self._pending.popleft()
                 return SpentToken(lot.expires_at, lot.grant_id)
         self._unmet += 1
         return None
@@ -131,6 +145,15 @@
                 lot.tokens += 1
                 return
 
+    def _waiting(self, now: float) -> int:
+        """How many requests found no token since the last grant."""
+        if not self._unmet:
+            return 0
+        while self._pending and self._pending[0] < now - PENDING_SECONDS:
+            self._pending.popleft()
+        # A request that tries again and again needs one token.
+        return max(1, min(self._unmet, len(self._pending)))
+
     def _drop_expired(self, now: float) -> None:
         live: list[_Lot] = []
         for lot in self._lots:
--- a/tests/cover/traffic/test_token_supply.py
+++ b/tests/cover/traffic/test_token_supply.py
@@ -129,7 +129,9 @@
     for _ in range(20):
         # One request that tries again and again is one request.
         assert purse.spend(100) is None
-    assert purse.wanted(100) in {1, 2}
+    ask = purse.ask('team', 'vm0', 100)
+    assert ask is not None
+    assert ask.waiting == 1
 
 
 def test_a_token_counts_from_before_the_question() -> None:
