Let reports carry the lease that bounds their renewals

Cause: renewals stopped when no ask had brought a newer lease for a term. Change: report takes lease_until; the cell says what to call when.

--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell.py
@@ -42,7 +42,11 @@
 
 
 class Cell:
-    """The holder's side of one cell."""
+    """The holder's side of one cell.
+
+    After an ask or a report call `grants` and `expired`; call `tick` several
+    times a second also when nothing happens.
+    """
 
     def __init__(
         self,
@@ -119,8 +123,15 @@
         self,
         report: PermitReport,
         now: float,
+        lease_until: float | None = None,
     ) -> PermitRenewal | None:
-        """Takes in a report; none recalls the permit if it was kept."""
+        """Takes in a report; none recalls the permit if it was kept.
+
+        Without `lease_until` the lease last given to `grants` bounds the
+        renewal.
+        """
+        if lease_until is not None:
+            self._issuer.note_lease(lease_until)
         known = self._pool.targets.get(report.target)
         if known is None:
             return None
--- a/tests/cover/traffic/test_cell_rules.py
+++ b/tests/cover/traffic/test_cell_rules.py
@@ -93,6 +93,16 @@
     assert cell.report(report, OPEN_FROM + 0.6) is None
 
 
+def test_a_renewal_lives_no_longer_than_the_lease() -> None:
+    cell = make_cell()
+    report = report_on(grant_one(cell, OPEN_FROM, lease=1), is_returned=False)
+    later = OPEN_FROM + 2
+    assert cell.report(report, later) is None
+    renewal = cell.report(report, later, lease_until=later + 0.5)
+    assert renewal is not None
+    assert renewal.start_within == pytest.approx(0.5)
+
+
 def test_a_returned_permit_is_not_renewed_by_a_late_report() -> None:
     cell = make_cell()
     granted = grant_one(cell, OPEN_FROM)
