Take over sooner, hand long answers over without their body

Cause: a standby waited two terms after the last look, a fence reply carried every recorded body, and a list change lost settlements. Change: standbys look at two witnesses in turn and wait by rank; long bodies stay behind; a claim settles with a newer list's witnesses too.

--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/__init__.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/__init__.py
@@ -29,7 +29,8 @@
 
 What it relies on: clocks run apart by less than the drift margin, wall clocks
 differ by less than the clock skew; the platform stops a VM within the record
-retention of taking it off the list; a VM that starts learns the newest list
+retention of taking it off the list, and tells a VM that counts itself fresh
+of a newer list within the key retention; a VM that starts learns the newest list
 and the earlier ones from its peers before it adopts one. When most witnesses
 of a shard lose their memory within one read-back, only the list that they
 then start with keeps an older one from coming back.
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/activation.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/activation.py
@@ -62,12 +62,13 @@
         return self._installed.issuperset(self._witnesses)
 
     @property
-    def _witnesses(self) -> tuple[str, ...]:
-        return self.placement.witnesses(self.shard)
+    def is_in_force(self) -> bool:
+        """Whether a majority of the revision's witnesses is installed."""
+        return len(self._installed) >= majority_of(len(self._witnesses))
 
     @property
-    def _is_in_force(self) -> bool:
-        return len(self._installed) >= majority_of(len(self._witnesses))
+    def _witnesses(self) -> tuple[str, ...]:
+        return self.placement.witnesses(self.shard)
 
     def requests(
         self,
@@ -162,7 +163,7 @@
     ) -> tuple[Outgoing, ...]:
         """Waits for the leases' end, then installs."""
         interval = self.terms.renew_interval
-        if self._is_in_force:
+        if self.is_in_force:
             interval = self.terms.lease_term
         if now - self._repeated_at < interval:
             return ()
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/candidacy.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/candidacy.py
@@ -26,6 +26,8 @@
 )
 from jacinthcroft_decisions.internal.coordination.placement import Placement
 
+_WITNESSES_PER_LOOK = 2
+
 
 @define
 class Candidacy:
@@ -57,8 +59,7 @@
         due: tuple[Outgoing, ...] = ()
         is_acting = self.hold.is_acting(now)
         if self.hold.is_due(now):
-            action = LeaseAction.ACQUIRE if is_acting else LeaseAction.LOOK
-            due = self._ask(action)
+            due = self._acquire() if is_acting else self._look()
         if not is_acting:
             return due
         activation = self._running_activation()
@@ -74,20 +75,24 @@
         now: float,
     ) -> None:
         """Takes a witness's reply to a request sent at `sent_at`."""
+        activation = self._activation
         if isinstance(reply, LeaseReply):
             self.hold.receive(sender, reply, sent_at, now)
-        elif self._activation is None:
+        elif activation is None:
             return
         elif isinstance(reply, FenceReply):
-            self._activation.receive_fence(sender, reply, sent_at, now)
+            activation.receive_fence(sender, reply, sent_at, now)
         elif isinstance(reply, InstallReply):
-            self._activation.receive_install(sender, reply)
+            activation.receive_install(sender, reply)
+            self._hurry_once_in_force(activation, now)
 
     def release(self, now: float) -> tuple[Outgoing, ...]:
         """Gives the lease up; returns what tells its witnesses."""
         was_asked_for = self.hold.was_asked_for
         self.hold.release(now)
-        return self._ask(LeaseAction.RELEASE) if was_asked_for else ()
+        if not was_asked_for:
+            return ()
+        return self._ask(LeaseAction.RELEASE, self.hold.witnesses)
 
     def _running_activation(self) -> Activation | None:
         """Starts, goes on with or ends the activation as needed."""
@@ -106,7 +111,24 @@
             self._activation = None
         return self._activation
 
-    def _ask(self, action: LeaseAction) -> tuple[Outgoing, ...]:
+    def _hurry_once_in_force(self, activation: Activation, now: float) -> None:
+        """Asks for the lease at once: its witnesses can grant it now."""
+        if activation.is_in_force and not self.hold.holds(now):
+            self.hold.hurry()
+
+    def _acquire(self) -> tuple[Outgoing, ...]:
+        return self._ask(LeaseAction.ACQUIRE, self.hold.witnesses)
+
+    def _look(self) -> tuple[Outgoing, ...]:
+        """Asks a few witnesses, each time others, whether a lease runs."""
+        asked = self.hold.next_witnesses(_WITNESSES_PER_LOOK)
+        return self._ask(LeaseAction.LOOK, asked)
+
+    def _ask(
+        self,
+        action: LeaseAction,
+        witnesses: tuple[str, ...],
+    ) -> tuple[Outgoing, ...]:
         message = LeaseRequest(
             self.shard,
             self.placement.revision,
@@ -115,4 +137,4 @@
             next(self.sequence),
             action,
         )
-        return tuple(Outgoing(vm, message) for vm in self.hold.witnesses)
+        return tuple(Outgoing(vm, message) for vm in witnesses)
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/claim_votes.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/claim_votes.py
@@ -116,7 +116,7 @@
     if key_time is None or key_time <= memory.vouch_from:
         return Outcome.NOT_VOUCHED
     age = wall - key_time
-    if age < -terms.clock_skew or age > terms.record_retention:
+    if age < -terms.clock_skew or age > terms.claim_age_limit:
         return Outcome.NOT_VOUCHED
     record = memory.records.get(request.key)
     if record is None:
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/claims.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/claims.py
@@ -49,7 +49,10 @@
 
 @dataclass(frozen=True)
 class ClaimUnknown:
-    """The request may have run and its answer is not known."""
+    """The request may have run and its answer is not known.
+
+    So it is also when the witnesses may have forgotten the key.
+    """
 
 
 @dataclass(frozen=True)
@@ -137,25 +140,41 @@
             self._verdict = self._judge(now)
         return self._verdict
 
-    def settle_released(self) -> tuple[Outgoing, ...]:
+    def settle_released(
+        self,
+        current: Placement | None = None,
+    ) -> tuple[Outgoing, ...]:
         """Gives the claim up: it was not and never will be dispatched.
 
+        Pass the `current` placement to tell the witnesses of a newer list,
+        which may have taken the claim over.
+
         Raises:
             ValueError: the claim was settled before.
         """
-        return self._settle(None)
+        return self._settle(None, current)
 
-    def settle_answered(self, answer: RecordedAnswer) -> tuple[Outgoing, ...]:
+    def settle_answered(
+        self,
+        answer: RecordedAnswer,
+        current: Placement | None = None,
+    ) -> tuple[Outgoing, ...]:
         """Records the answer of the dispatched request.
 
+        Pass the `current` placement to tell a newer list's witnesses too.
+
         Raises:
             ValueError: the claim was settled before, or never granted.
         """
         if not isinstance(self._verdict, ClaimGranted):
             raise ValueError('only a granted claim has an answer')
-        return self._settle(answer)
+        return self._settle(answer, current)
 
-    def _settle(self, answer: RecordedAnswer | None) -> tuple[Outgoing, ...]:
+    def _settle(
+        self,
+        answer: RecordedAnswer | None,
+        current: Placement | None,
+    ) -> tuple[Outgoing, ...]:
         if self._is_settled:
             raise ValueError('a claim is settled once')
         self._is_settled = True
@@ -168,7 +187,10 @@
             self.claim_id,
             answer,
         )
-        return tuple(Outgoing(vm, message) for vm in self._witnesses)
+        told = set(self._witnesses)
+        if current is not None:
+            told.update(current.witnesses(self._shard))
+        return tuple(Outgoing(vm, message) for vm in sorted(told))
 
     def _is_over(self, now: float) -> bool:
         return now - self.started_at > self.terms.claim_timeout
@@ -187,10 +209,12 @@
         return self._refusal()
 
     def _refusal(self) -> ClaimVerdict:
-        if self._count(Outcome.UNKNOWN):
+        if self._count(Outcome.UNKNOWN) or self._count(Outcome.ANSWERED):
             return ClaimUnknown()
         if self._count(Outcome.RUNNING):
             return ClaimRunning()
+        if self._count(Outcome.NOT_VOUCHED):
+            return ClaimUnknown()
         return ClaimUnavailable()
 
     def _recorded_answer(self) -> RecordedAnswer | None:
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/coordinator.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/coordinator.py
@@ -152,10 +152,11 @@
                 continue
             witnesses = placement.witnesses(shard)
             rank = ranked.index(self.vm)
+            quiet_since = now + self.terms.lease_term
             standing[shard] = Candidacy(
                 shard,
                 placement,
-                ShardHold(self.terms, witnesses, rank, now),
+                ShardHold(self.terms, witnesses, rank, quiet_since),
                 self.vm,
                 self.incarnation,
                 self._sequence,
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/history.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/history.py
@@ -30,10 +30,11 @@
         self._heard.discard(placement.revision)
         while len(self._placements) > self.terms.history_limit:
             self._placements.pop(min(self._placements))
-        self.watch(placement.members, now)
         newest = self._placements[max(self._placements)]
         for vm in newest.members:
             self._absent_since.pop(vm, None)
+        for known in self._placements.values():
+            self.watch(known.members, now)
 
     def watch(self, vms: Iterable[str], now: float) -> None:
         """Notes since when VMs are absent from the newest list."""
@@ -41,9 +42,6 @@
         for vm in vms:
             if vm not in newest.members:
                 self._absent_since.setdefault(vm, now)
-        for known in self._placements.values():
-            for vm in set(known.members).difference(newest.members):
-                self._absent_since.setdefault(vm, now)
 
     def gone(self, now: float) -> frozenset[str]:
         """Returns the VMs that have been absent from the list for long.
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/holds.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/holds.py
@@ -33,6 +33,7 @@
     _asked_at: float = field(default=_NEVER, init=False)
     _released_at: float = field(default=_NEVER, init=False)
     _acks: dict[str, float] = field(factory=dict, init=False)
+    _turn: int = field(default=0, init=False)
 
     @property
     def was_asked_for(self) -> bool:
@@ -46,24 +47,29 @@
     def is_acting(self, now: float) -> bool:
         """Whether this candidate's turn has come.
 
-        A lower-ranked one waits until no holder was seen for a lease term
-        and its own share of delay.
+        A lower-ranked one waits until no lease was seen for as long as the
+        better ones need to ask for it. A lease is seen until a term after
+        its last renewal; a new list gives the first candidate a term too.
         """
         if self.rank == 0 or self.holds(now):
             return True
-        delay = self.terms.lease_term * (1 + self.rank)
+        delay = self.rank * self.terms.look_interval
         return now - self.quiet_since >= delay
 
     def is_due(self, now: float) -> bool:
         """Whether to ask the witnesses now; notes that they were."""
         interval = self.terms.renew_interval
         if not self.is_acting(now):
-            interval = self.terms.lease_term / 2
+            interval = self.terms.look_interval
         if now - self._asked_at < interval:
             return False
         self._asked_at = now
         return True
 
+    def hurry(self) -> None:
+        """Makes the next request due at once."""
+        self._asked_at = _NEVER
+
     def receive(
         self,
         sender: str,
@@ -73,13 +79,20 @@
     ) -> None:
         """Takes a witness's reply to a request sent at `sent_at`."""
         if reply.outcome is Outcome.HELD:
-            self.quiet_since = now
+            self.quiet_since = max(self.quiet_since, now)
         if reply.outcome is Outcome.NOT_INSTALLED:
             self.is_driving = True
         if reply.outcome is Outcome.DONE and sent_at > self._released_at:
             self._acks[sender] = max(sent_at, self._acks.get(sender, _NEVER))
             self._extend(now)
 
+    def next_witnesses(self, count: int) -> tuple[str, ...]:
+        """Returns some witnesses, going on where the last call ended."""
+        turned = self.witnesses[self._turn :] + self.witnesses[: self._turn]
+        if turned:
+            self._turn = (self._turn + count) % len(turned)
+        return turned[:count]
+
     def release(self, now: float) -> None:
         """Stops holding; votes from before this moment count no more."""
         self._released_at = now
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/records.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/records.py
@@ -53,6 +53,16 @@
         """Whether the record stops another claim."""
         return self.state is not ClaimState.RELEASED
 
+    def for_handover(self, body_limit: int) -> 'ClaimRecord':
+        """Returns the record as other witnesses get it.
+
+        A long answer stays behind: the key still counts as answered there,
+        though a resend only learns that the outcome is unknown.
+        """
+        if self.answer and len(self.answer.body_base64) > body_limit:
+            return evolve(self, answer=None)
+        return self
+
     def with_release(self, claimer: str) -> 'ClaimRecord':
         """Returns the record once a claimer has given its claim up."""
         released = _union((self.released, (claimer,)))
@@ -115,8 +125,8 @@
 }
 
 
-def _weight_of_state(record: ClaimRecord) -> int:
-    return _STATE_WEIGHTS[record.state]
+def _weight_of_state(record: ClaimRecord) -> tuple[int, bool]:
+    return _STATE_WEIGHTS[record.state], record.answer is not None
 
 
 def _counts(record: ClaimRecord, released: tuple[str, ...]) -> bool:
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/shard_memory.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/shard_memory.py
@@ -38,14 +38,22 @@
         """The highest revision that this shard was fenced at."""
         return max(self.fences, default=0)
 
-    def view(self, now: float, is_whole: bool) -> ShardView:
+    def view(
+        self,
+        now: float,
+        body_limit: int,
+        is_whole: bool,
+    ) -> ShardView:
         """Returns all of it, for drivers and restarted witnesses."""
         return ShardView(
             fences=tuple(sorted(self.fences.values())),
             installed=self.installed,
             vouch_from=self.vouch_from,
             lease=self.lease.view(now),
-            records=tuple(self.records.values()),
+            records=tuple(
+                record.for_handover(body_limit)
+                for record in self.records.values()
+            ),
             whole_at=tuple(sorted(self.whole_at)),
             is_whole=is_whole,
         )
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/terms.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/terms.py
@@ -12,6 +12,8 @@
     between the wall clocks of any two VMs, and how far in the future a
     caller's key may lie. `running_limit` is how long a claim without an
     answer is reported as running; after that its outcome is unknown.
+    `handover_body_limit` is the length in
+    characters above which a recorded body is not handed to other witnesses.
     `freshness_limit` is how long a VM may go on without hearing from the
     platform or a majority of the fleet.
     """
@@ -30,12 +32,18 @@
     history_limit: int = 64
     records_per_shard: int = 20000
     releases_per_key: int = 16
+    handover_body_limit: int = 2048
 
     @property
     def holder_term(self) -> float:
         """How long a holder uses a lease, from before it asked."""
         return self.lease_term * (1 - self.drift_margin)
 
+    @property
+    def look_interval(self) -> float:
+        """How often a waiting candidate looks for a running lease."""
+        return 2 * self.renew_interval
+
     @property
     def abstention(self) -> float:
         """How long a witness that lost its memory answers nothing."""
@@ -50,6 +58,15 @@
         """
         return 2 * self.clock_skew
 
+    @property
+    def claim_age_limit(self) -> float:
+        """How old a key may be at a witness, whose clock may be ahead.
+
+        It is well below the retention of records, so that a wall clock set
+        back by some seconds does not bring an evicted key back.
+        """
+        return self.key_retention + self.clock_skew
+
     @property
     def record_retention(self) -> float:
         """How long after a key's own time its record is kept."""
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness_handlers.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness_handlers.py
@@ -100,7 +100,7 @@
         )
     else:
         memory.fence(WitnessSet(request.revision, request.witnesses))
-        view = memory.view(now, state.is_long_up(now))
+        view = state.view(request.shard, now)
     return FenceReply(
         request.shard,
         request.revision,
@@ -170,7 +170,6 @@
     wall: float,
 ) -> ReadBackReply:
     is_abstaining = state.is_abstaining(now)
-    memory = state.memory(request.shard)
     state.plan_read_back(request.shard, request.revision, request.witnesses)
     return ReadBackReply(
         request.shard,
@@ -178,7 +177,7 @@
         Outcome.ABSTAINING if is_abstaining else Outcome.DONE,
         state.newest(request.shard),
         request.incarnation,
-        None if is_abstaining else memory.view(now, state.is_long_up(now)),
+        None if is_abstaining else state.view(request.shard, now),
     )
 
 
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness_state.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness_state.py
@@ -2,6 +2,7 @@
 
 from attrs import define, field
 
+from jacinthcroft_decisions.internal.coordination.messages import ShardView
 from jacinthcroft_decisions.internal.coordination.placement import Placement
 from jacinthcroft_decisions.internal.coordination.recovery import ReadBack
 from jacinthcroft_decisions.internal.coordination.shard_memory import (
@@ -62,6 +63,14 @@
             return True
         return revision in self.memory(shard).whole_at
 
+    def view(self, shard: int, now: float) -> ShardView:
+        """Returns what others may know of a shard."""
+        return self.memory(shard).view(
+            now,
+            self.terms.handover_body_limit,
+            self.is_long_up(now),
+        )
+
     def plan_read_back(
         self,
         shard: int,
--- a/tests/cover/coordination/test_coordination_parts.py
+++ b/tests/cover/coordination/test_coordination_parts.py
@@ -18,6 +18,7 @@
     ClaimRunning,
     ClaimState,
     ClaimUnavailable,
+    ClaimUnknown,
     CoordinationTerms,
     FenceReply,
     Freshness,
@@ -147,6 +148,17 @@
     assert merged.with_answer('a', ANSWER).answer == ANSWER
 
 
+def test_a_long_answer_stays_behind_and_a_full_copy_wins() -> None:
+    answer = evolve(ANSWER, body_base64='x' * 9)
+    full = ClaimRecord(LATE, 'a', ClaimState.ANSWERED, 2, (), answer)
+    assert full.for_handover(9) == full
+    trimmed = full.for_handover(8)
+    assert trimmed.state is ClaimState.ANSWERED
+    assert (
+        merge_copies((trimmed, full)) == merge_copies((full, trimmed)) == full
+    )
+
+
 def test_messages_survive_their_way_through_json() -> None:
     record = ClaimRecord(LATE, 'a', ClaimState.ANSWERED, 2, ('b',), ANSWER)
     view = ShardView(
@@ -247,6 +259,8 @@
         ((Outcome.RUNNING,) * 2, None),
         ((Outcome.DONE,) * 2 + (Outcome.RUNNING,) * 3, ClaimRunning()),
         ((Outcome.STALE,) * 3, ClaimUnavailable()),
+        ((Outcome.NOT_VOUCHED,) * 3, ClaimUnknown()),
+        ((Outcome.ANSWERED,) + (Outcome.STALE,) * 2, ClaimUnknown()),
     ],
 )
 def test_a_claim_needs_a_majority(
@@ -259,6 +273,14 @@
     assert claim.verdict(1) == verdict
 
 
+def test_a_settlement_also_reaches_the_witnesses_of_a_newer_list() -> None:
+    claim = Claim.start(LATE, 'a', PLACEMENT, CoordinationTerms(), 0)
+    newer = Placement.from_vm_list(make_list(2, NAMES[3:]), CoordinationTerms())
+    told = {outgoing.to for outgoing in claim.settle_released(newer)}
+    shard = PLACEMENT.shard_of(LATE)
+    assert told == {*PLACEMENT.witnesses(shard), *newer.witnesses(shard)}
+
+
 def test_late_votes_do_not_count_and_the_verdict_stands() -> None:
     claim = Claim.start(LATE, 'a', PLACEMENT, CoordinationTerms(), 0)
     for outgoing in claim.requests():
