Keep waiting candidates from asking between two looks

Cause: a candidate waited as long as its look interval, so it asked for the lease just before each look. Change: wait two looks and more.

--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/__init__.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/__init__.py
@@ -27,11 +27,15 @@
   that came after it. A released claim's name is kept, so a late copy of the
   claim is refused. Only replies within the claim timeout count for a claim.
 
-What it relies on: clocks run apart by less than the drift margin, wall clocks
-differ by less than the clock skew; the platform stops a VM within the record
-retention of taking it off the list, and tells a VM that counts itself fresh
-of a newer list within the key retention; a VM that starts learns the newest list
-and the earlier ones from its peers before it adopts one. When most witnesses
-of a shard lose their memory within one read-back, only the list that they
-then start with keeps an older one from coming back.
+What it relies on:
+
+* Clocks run apart by less than the drift margin, and wall clocks differ by
+  less than the clock skew.
+* The platform stops a VM within the record retention of taking it off the
+  list, and within the key retention it tells a VM that counts itself fresh
+  of a newer list.
+* A VM that starts learns the newest list and the earlier ones from its peers
+  before it adopts one. When most witnesses of a shard lose their memory
+  within one read-back, only the list that they then start with keeps an
+  older one from coming back.
 """
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/holds.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/holds.py
@@ -47,13 +47,14 @@
     def is_acting(self, now: float) -> bool:
         """Whether this candidate's turn has come.
 
-        A lower-ranked one waits until no lease was seen for as long as the
-        better ones need to ask for it. A lease is seen until a term after
-        its last renewal; a new list gives the first candidate a term too.
+        A lower-ranked one waits until two looks and more, by its rank, have
+        seen no lease, so that better ones come first. A lease is seen until
+        a term after its last renewal; a new list gives the first candidate a
+        term too.
         """
         if self.rank == 0 or self.holds(now):
             return True
-        delay = self.rank * self.terms.look_interval
+        delay = (1 + self.rank) * self.terms.look_interval
         return now - self.quiet_since >= delay
 
     def is_due(self, now: float) -> bool:
--- a/tests/cover/coordination/test_coordination_parts.py
+++ b/tests/cover/coordination/test_coordination_parts.py
@@ -28,6 +28,7 @@
     KeyInFuture,
     KeyInvalid,
     KeyTooOld,
+    LeaseReply,
     LeaseView,
     Outcome,
     Placement,
@@ -43,6 +44,7 @@
 from jacinthcroft_decisions.internal.coordination.history import (
     PlacementHistory,
 )
+from jacinthcroft_decisions.internal.coordination.holds import ShardHold
 from jacinthcroft_decisions.internal.coordination.records import merge_copies
 from jacinthcroft_decisions.internal.coordination.survey import (
     FencesNeeded,
@@ -245,6 +247,13 @@
     assert survey(known, {1: (view,)}) == FencesNeeded(known[0])
 
 
+def test_a_waiting_candidate_does_not_ask_between_two_looks() -> None:
+    hold = ShardHold(TERMS, NAMES[:5], rank=1, quiet_since=0)
+    hold.receive('vm0', LeaseReply(0, 1, Outcome.HELD, 1), 9, 10)
+    assert not hold.is_acting(10 + 1.5 * TERMS.look_interval)
+    assert hold.is_acting(10 + 2 * TERMS.look_interval)
+
+
 def _vote(claim: Claim, vm: str, outcome: Outcome, now: float) -> None:
     shard = claim.placement.shard_of(claim.key)
     reply = ClaimReply(shard, 1, outcome, 1, claim.claim_id)
