--- a/tests/cover/coordination/shard_chaos.py
+++ b/tests/cover/coordination/shard_chaos.py
@@ -126,10 +126,7 @@
 
     def rest(self) -> None:
         """A calm time, in which the fleet can get on."""
-        self.heal()
-        last = len(self.simulation.published)
-        for name in self.simulation.processes:
-            self.simulation.adopt(name, last)
+        self.simulation.adopt_newest()
         self.simulation.advance(self.rng.uniform(1, 8))
 
     def _some(self, count: int) -> list[str]:
--- a/tests/cover/coordination/shard_simulation.py
+++ b/tests/cover/coordination/shard_simulation.py
@@ -190,6 +190,12 @@
         placement = self.published[revision - 1]
         self.processes[vm].take_list(placement, self.time)
 
+    def adopt_newest(self) -> None:
+        """Ends all partitions; every VM learns the newest list."""
+        self.blocked.clear()
+        for vm in self.processes:
+            self.adopt(vm, len(self.published))
+
     def drain(self, vm: str) -> None:
         process = self.processes[vm]
         now = process.clock(self.time)
--- a/tests/cover/coordination/test_coordination_safety.py
+++ b/tests/cover/coordination/test_coordination_safety.py
@@ -13,6 +13,8 @@
 from tests.cover.coordination.broken_variants import BROKEN
 from tests.cover.coordination.shard_chaos import Chaos, run_chaos
 from tests.cover.coordination.shard_scenarios import (
+    CALM,
+    AlwaysRun,
     forget_claims,
     replace_fleet,
     settled_fleet,
@@ -36,6 +38,21 @@
     run_chaos(new_fleet(seed), seed, steps=200)
 
 
+@pytest.mark.parametrize('seed', range(6, 10))
+def test_the_fleet_serves_again_once_the_faults_end(seed: int) -> None:
+    simulation = new_fleet(seed)
+    run_chaos(simulation, seed, steps=200)
+    simulation.faults = CALM
+    simulation.rng = AlwaysRun(seed)
+    simulation.adopt_newest()
+    simulation.advance(15)
+    assert len(simulation.holders()) == 1
+    key = simulation.new_key(age=0)
+    simulation.claim(simulation.published[-1].members[0], key)
+    simulation.advance(1)
+    assert key in simulation.runs
+
+
 @pytest.mark.parametrize('script', SCRIPTS.values())
 def test_the_scripted_faults_do_no_harm(script: object) -> None:
     assert callable(script)
