--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/held_cells.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/held_cells.py
@@ -189,10 +189,11 @@
         if held is None:
             return ReportBatchReply(None)
         moment = now()
+        lease_until = self._lease_until(batch.cell)
         renewals: list[PermitRenewal] = []
         recalled: list[str] = []
         for report in batch.reports:
-            renewal = held.cell.report(report, moment)
+            renewal = held.cell.report(report, moment, lease_until)
             if renewal is not None:
                 renewals.append(renewal)
             elif not report.is_returned:
@@ -314,9 +315,7 @@
                 waiting.set_result(PermitReply())
 
     def _pump(self, name: str, held: _HeldCell) -> None:
-        shard = self._view.placement.shard_of(f'cell:{name}')
-        lease_until = self._coordination.coordinator.lease_until(shard)
-        for granted in held.cell.grants(now(), lease_until):
+        for granted in held.cell.grants(now(), self._lease_until(name)):
             waiting = held.waiting.get(granted.ticket)
             if waiting is not None and not waiting.done():
                 waiting.set_result(PermitReply(permit=granted.permit))
@@ -327,3 +326,7 @@
                 waiting.set_result(PermitReply(refusal=refusal))
         for event in held.cell.events():
             self._tell(name, event)
+
+    def _lease_until(self, name: str) -> float:
+        shard = self._view.placement.shard_of(f'cell:{name}')
+        return self._coordination.coordinator.lease_until(shard)
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/holds.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/holds.py
@@ -33,6 +33,7 @@
     _asked_at: float = field(default=_NEVER, init=False)
     _released_at: float = field(default=_NEVER, init=False)
     _acks: dict[str, float] = field(factory=dict, init=False)
+    _turn: int = field(default=0, init=False)
 
     @property
     def was_asked_for(self) -> bool:
@@ -62,12 +63,16 @@
         """Whether to ask the witnesses now; notes that they were."""
         interval = self.terms.renew_interval
         if not self.is_acting(now):
-            interval = self.terms.lease_term / 2
+            interval = self.terms.look_interval
         if now - self._asked_at < interval:
             return False
         self._asked_at = now
         return True
 
+    def hurry(self) -> None:
+        """Makes the next request due at once."""
+        self._asked_at = _NEVER
+
     def receive(
         self,
         sender: str,
@@ -85,6 +90,13 @@
             self._acks[sender] = max(sent_at, self._acks.get(sender, _NEVER))
             self._extend(now)
 
+    def next_witnesses(self, count: int) -> tuple[str, ...]:
+        """Returns some witnesses, going on where the last call ended."""
+        turned = self.witnesses[self._turn :] + self.witnesses[: self._turn]
+        if turned:
+            self._turn = (self._turn + count) % len(turned)
+        return turned[:count]
+
     def release(self, now: float) -> None:
         """Stops holding; votes from before this moment count no more."""
         self._released_at = now
