Reserve the ports of a fleet while it lives

Cause: two fleets of different test processes took the same port between the check and the listening; a 48-VM fleet failed with 'address already in use'. Change: ports stay bound without listening, so only a server with SO_REUSEADDR can use them.

--- a/packages/testkit/src/jacinthcroft_testkit/fleet.py
+++ b/packages/testkit/src/jacinthcroft_testkit/fleet.py
@@ -84,6 +84,7 @@
                 tempfile.TemporaryDirectory(prefix='jacinthcroft-'),
             ),
         )
+        self._stack.callback(self._ports.close)
         processes = ProcessGroup(folder)
         self._stack.push_async_callback(processes.end_all)
         pool = make_pool()
