--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/held_cells.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/held_cells.py
@@ -6,12 +6,16 @@
 
 import asyncio
 import random
+from collections.abc import Iterable
+from dataclasses import asdict
 from typing import Final
 
 from attrs import define, field, frozen
 from jacinthcroft_config import Service
 from jacinthcroft_decisions.traffic import (
     Cell,
+    CellEvent,
+    CellHandover,
     Permit,
     PermitAsk,
     PermitRefusal,
@@ -19,21 +23,29 @@
     PermitReport,
     QueueFull,
     ReportReply,
+    TargetEjected,
     TargetView,
 )
 from jacinthcroft_http import now
 
 from jacinthcroft_daemon.internal.fleet.view import FleetView
-from jacinthcroft_daemon.internal.peers import PeerRouter
+from jacinthcroft_daemon.internal.peers import PeerClient, PeerRouter
 from jacinthcroft_daemon.internal.sharing.coordination import (
     CoordinationService,
 )
 from jacinthcroft_daemon.internal.sharing.probes import Prober
-from jacinthcroft_daemon.internal.telemetry import log_event
+from jacinthcroft_daemon.internal.telemetry import Count, Metrics, log_event
 
 ASK_KIND: Final = 'permit'
 REPORT_KIND: Final = 'reports'
+_HANDOVER_KIND: Final = 'handover'
+_HANDOVER_TIMEOUT_SECONDS: Final = 0.5
+# A handover speaks of the holder right before; by this age another VM could
+# have held the cell in between.
+_HANDOVER_MAX_AGE_SECONDS: Final = 1.5
 _TICK_SECONDS: Final = 0.05
+_ADOPT_SECONDS: Final = 0.25
+_TOLD_SUCCESSORS: Final = 2
 
 
 @frozen
@@ -59,6 +71,19 @@
     reply: ReportReply | None
 
 
+@frozen
+class HandoverReply:
+    """The handover arrived."""
+
+    vm: str
+
+
+@frozen
+class _ReceivedHandover:
+    handover: CellHandover
+    received_at: float
+
+
 @define
 class _HeldCell:
     held_since: float
@@ -76,15 +101,21 @@
         view: FleetView,
         coordination: CoordinationService,
         prober: Prober,
+        peers: PeerClient,
+        metrics: Metrics,
         incarnation: str,
     ) -> None:
         """Judges under the coordination service's leases."""
         self._view = view
         self._coordination = coordination
         self._prober = prober
+        self._peers = peers
+        self._metrics = metrics
         self._incarnation = incarnation
         self._random = random.Random()
         self._cells: dict[str, _HeldCell] = {}
+        self._handovers: dict[str, _ReceivedHandover] = {}
+        self._is_closed = False
 
     @property
     def target_views(self) -> tuple[tuple[str, TargetView], ...]:
@@ -100,6 +131,33 @@
         """Answers peers' questions and reports."""
         router.register(ASK_KIND, PermitAsk, self.answer_ask)
         router.register(REPORT_KIND, ReportBatch, self.answer_reports)
+        router.register(_HANDOVER_KIND, CellHandover, self._answer_handover)
+
+    def close(self) -> tuple[CellHandover, ...]:
+        """Stops granting for good; returns what the successors need."""
+        self._is_closed = True
+        handovers = tuple(
+            held.cell.hand_over(now()) for held in self._cells.values()
+        )
+        for name in tuple(self._cells):
+            self._drop(name)
+        return handovers
+
+    async def hand_over(self, handovers: Iterable[CellHandover]) -> None:
+        """Tells the next candidates, before the leases are given up."""
+        await asyncio.gather(
+            *(
+                self._peers.ask(
+                    vm,
+                    _HANDOVER_KIND,
+                    handover,
+                    HandoverReply,
+                    _HANDOVER_TIMEOUT_SECONDS,
+                )
+                for handover in handovers
+                for vm in self._successors(handover.cell)
+            )
+        )
 
     async def answer_ask(self, sender: str, ask: PermitAsk) -> PermitReply:
         """Waits for a permit in the cell's queue."""
@@ -145,7 +203,13 @@
 
     async def run(self) -> None:
         """Lets time pass in all held cells, for ever."""
+        adopted_at = 0.0
         while True:
+            if now() - adopted_at > _ADOPT_SECONDS:
+                # A cell that is taken over before anybody asks for it has
+                # waited out its predecessor's permits by then.
+                adopted_at = now()
+                self.adopt()
             for name in tuple(self._cells):
                 self._tick(name)
             await asyncio.sleep(_TICK_SECONDS)
@@ -155,6 +219,29 @@
         for service in self._view.configuration.services:
             self._held(service.name)
 
+    def _successors(self, cell: str) -> tuple[str, ...]:
+        placement = self._view.placement
+        ranked = placement.candidates(placement.shard_of(f'cell:{cell}'))
+        others = (vm for vm in ranked if vm != self._view.vm)
+        return tuple(others)[:_TOLD_SUCCESSORS]
+
+    async def _answer_handover(
+        self,
+        sender: str,
+        handover: CellHandover,
+    ) -> HandoverReply:
+        self._handovers[handover.cell] = _ReceivedHandover(handover, now())
+        return HandoverReply(self._view.vm)
+
+    def _take_handover(
+        self, name: str, held_since: float
+    ) -> CellHandover | None:
+        received = self._handovers.pop(name, None)
+        if received is None:
+            return None
+        age = held_since - received.received_at
+        return received.handover if age < _HANDOVER_MAX_AGE_SECONDS else None
+
     def _tick(self, name: str) -> None:
         held = self._held(name)
         if held is None:
@@ -165,11 +252,20 @@
             self._prober.start(held.service, wanted, held.cell)
         self._pump(name, held)
 
+    def _tell(self, cell: str, event: CellEvent) -> None:
+        if isinstance(event, TargetEjected):
+            self._metrics.count(Count.EJECTIONS, cell)
+        # The class names read as events: TargetEjected, ColdStartNoticed...
+        fields = asdict(event)
+        fields.pop('happened_at')
+        log_event('warning', type(event).__name__, cell=cell, **fields)
+
     def _held(self, name: str) -> _HeldCell | None:
         shard = self._view.placement.shard_of(f'cell:{name}')
         coordinator = self._coordination.coordinator
         service = self._view.service(name)
-        if service is None or not coordinator.holds(shard, now()):
+        is_held = coordinator.holds(shard, now()) and not self._is_closed
+        if service is None or not is_held:
             self._drop(name)
             return None
         held = self._cells.get(name)
@@ -182,16 +278,23 @@
 
     def _take_over(self, service: Service, held_since: float) -> _HeldCell:
         zones_out = self._view.vm_list.zones_out
+        handover = self._take_handover(service.name, held_since)
         cell = Cell.from_config(
             service,
             held_since,
             self._incarnation,
             self._random,
             zones_out,
+            handover,
         )
         held = _HeldCell(held_since, service, zones_out, cell)
         self._cells[service.name] = held
-        log_event('info', 'cell-held', cell=service.name)
+        log_event(
+            'info',
+            'cell-held',
+            cell=service.name,
+            was_handed_over=handover is not None,
+        )
         return held
 
     def _refresh(self, held: _HeldCell, service: Service) -> None:
@@ -223,9 +326,4 @@
                 refusal = PermitRefusal('no-capacity')
                 waiting.set_result(PermitReply(refusal=refusal))
         for event in held.cell.events():
-            log_event(
-                'warning',
-                type(event).__name__,
-                cell=name,
-                target=event.target,
-            )
+            self._tell(name, event)
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/coordinator.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/coordinator.py
@@ -56,7 +56,7 @@
 
     def adopt(self, placement: Placement, now: float) -> None:
         """Takes a newer list; an older one only joins the history."""
-        self._history.add(placement)
+        self._history.add(placement, now)
         if placement.revision <= self._revision():
             return
         self._question = HistoryQuestion(placement, self.terms)
@@ -72,7 +72,7 @@
     ) -> None:
         """Takes earlier lists that peers have passed on."""
         for placement in placements:
-            self._history.add(placement)
+            self._history.add(placement, now)
 
     def tick(self, now: float) -> tuple[Outgoing, ...]:
         """Returns the requests that are due.
@@ -84,7 +84,7 @@
         self._farewells = ()
         if self._question is None or self._is_leaving:
             return tuple(due)
-        is_complete = self._question.is_complete(self._history)
+        is_complete = self._question.is_complete(self._history, now)
         for candidacy in self._candidacies.values():
             due.extend(candidacy.requests(self._history, is_complete, now))
         standing = self._candidacies.values()
@@ -101,7 +101,8 @@
         now: float,
     ) -> None:
         """Takes the reply to a request of `tick` that left at `sent_at`."""
-        self._history.hear((reply.newest,))
+        if reply.newest > self._revision():
+            self._history.hear((reply.newest,))
         if self._question is None or reply.revision != self._revision():
             return
         if isinstance(reply, HistoryReply):
@@ -135,6 +136,16 @@
             farewells.extend(candidacy.release(now))
         return tuple(farewells)
 
+    def invite(self, shard: int, now: float) -> None:
+        """Lets this VM stand for a shard that its holder has given up."""
+        candidacy = self._candidacies.get(shard)
+        if candidacy is not None:
+            candidacy.hold.invite(now)
+
+    def _turn(self, rank: int, now: float) -> float:
+        """Returns when a rank acts that has not seen any holder yet."""
+        return now + self.terms.lease_term * (1 + rank)
+
     def _revision(self) -> int:
         return self._question.placement.revision if self._question else 0
 
@@ -154,7 +165,7 @@
             standing[shard] = Candidacy(
                 shard,
                 placement,
-                ShardHold(self.terms, witnesses, rank, now),
+                ShardHold(self.terms, witnesses, rank, self._turn(rank, now)),
                 self.vm,
                 self.incarnation,
                 self._sequence,
