--- a/packages/testkit/src/jacinthcroft_testkit/internal/deployments.py
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/deployments.py
@@ -30,7 +30,7 @@
     for service, text in read_examples(folder).items():
         names = [f'{service}-{number + 1}' for number in range(targets)]
         await fleet.add_service(service, text, names, traits)
-        services.append(load(fleet.services.text(service), service))
+        services.append(load_sound(fleet.services.text(service), service))
     return services
 
 
@@ -41,7 +41,7 @@
     }
 
 
-def load(text: str, file_name: str) -> Service:
+def load_sound(text: str, file_name: str) -> Service:
     """Reads a service file that must be right.
 
     Raises:
