--- a/packages/testkit/src/jacinthcroft_testkit/internal/request_checks.py
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/request_checks.py
@@ -47,7 +47,7 @@
     by the refusal's request id, and one that starts later counts as well.
     """
     runs_by_key = _group_by_key(history.runs)
-    runs_by_id = {run.request_id: run for run in history.runs}
+    runs_by_id = {run.request_id: run for run in history.runs if run.request_id}
     found: list[FalseNotRun] = []
     for sent, outcome in _pair(history):
         if outcome.outcome != _NOT_RUN:
