Say unknown wherever an earlier sending may have run

Cause: a target's answer that broke off while it was being recorded reached the server as the caller's own cut body and was refused as malformed, not-run, although the target had run it. Unknown routes and keys from the future were refused as not-run although a VM with another configuration or clock may have run the same key. A key that moved to another team between admission and dispatch still ran for the earlier team. Change: the once runner answers target-failed, unknown; a cut request body, an unknown route with a key and a key from the future say unknown; dispatch compares the team.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/admission.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/admission.py
@@ -96,10 +96,18 @@
         """Returns the admitted work or the refusal."""
         found = self._view.routes.find(request.method, request.path)
         if isinstance(found, UnknownRoute):
-            return _not_run(Reason.UNKNOWN_ROUTE, 'no service has this path')
+            return Refusal(
+                Reason.UNKNOWN_ROUTE,
+                _outcome_without_route(request),
+                'no service has this path',
+            )
         if isinstance(found, MethodNotAllowed):
             allowed = ', '.join(found.allowed)
-            return _not_run(Reason.METHOD_NOT_ALLOWED, f'allowed: {allowed}')
+            return Refusal(
+                Reason.METHOD_NOT_ALLOWED,
+                _outcome_without_route(request),
+                f'allowed: {allowed}',
+            )
         return self._admit_matched(request, request_id, found)
 
     def may_still_run(self, work: Work) -> bool:
@@ -108,13 +116,8 @@
             return False
         if work.team is None:
             return True
-        return (
-            self._view.teams.team_for(
-                work.service.name,
-                work.key_hash,
-            )
-            is not None
-        )
+        team = self._view.teams.team_for(work.service.name, work.key_hash)
+        return team is not None and team.name == work.team.name
 
     def _admit_matched(
         self,
@@ -208,6 +211,14 @@
     return Refusal(reason, Outcome.NOT_RUN, detail)
 
 
+def _outcome_without_route(request: IncomingRequest) -> Outcome:
+    # A VM that has another revision of the configuration may know the route
+    # and may have run an earlier sending of the same key.
+    if request.headers.get('idempotency-key') is None:
+        return Outcome.NOT_RUN
+    return Outcome.UNKNOWN
+
+
 def _bearer_key(request: IncomingRequest) -> str | None:
     credentials = request.headers.get('authorization') or ''
     if not credentials.lower().startswith(_BEARER):
@@ -235,8 +246,10 @@
             'the key is too old to know whether it ran',
         )
     if isinstance(judged, KeyInFuture):
-        return _not_run(
+        # A VM whose clock is ahead of this one may have run it.
+        return Refusal(
             Reason.IDEMPOTENCY_KEY_INVALID,
+            Outcome.UNKNOWN,
             "the key's time is in the future: set the caller's clock",
         )
     return _not_run(
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/callers.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/callers.py
@@ -71,7 +71,9 @@
             bad_request.reason,
             Reason.MALFORMED_REQUEST,
         )
-        refusal = Refusal(reason, Outcome.NOT_RUN, bad_request.detail)
+        # A body that breaks off may have reached a target in part.
+        outcome = Outcome.UNKNOWN if bad_request.is_in_body else Outcome.NOT_RUN
+        refusal = Refusal(reason, outcome, bad_request.detail)
         return self._refuse(request_id, refusal, None)
 
     async def _run(
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/once.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/once.py
@@ -24,7 +24,7 @@
     Header,
     RecordedAnswer,
 )
-from jacinthcroft_http import IncomingRequest
+from jacinthcroft_http import BodyCut, IncomingRequest
 
 # Answers up to this size are kept for resends.
 RECORDED_ANSWER_BYTES: Final = 65_536
@@ -80,7 +80,16 @@
             if finished.outcome is Outcome.NOT_RUN:
                 self._claims.settle_released(claim)
             return finished
-        return await self._recorded(claim, finished)
+        try:
+            return await self._recorded(claim, finished)
+        except BodyCut as cut:
+            # Past this point the server would take it for the caller's own
+            # body, which proves that nothing ran.
+            return Refusal(
+                Reason.TARGET_FAILED,
+                Outcome.UNKNOWN,
+                f'the answer broke off: {cut.cause.detail}',
+            )
 
     async def _recorded(self, claim: Claim, finished: Finished) -> Finished:
         held = bytearray()
