Hear of revisions within seconds when all watchers are cut off

Cause: VMs that do not watch the platform looked every 20 s, so a revision could stay unseen that long when the platform was away for all watchers. A refused revision was read again without any pause. A VM that woke late counted as fresh by its peers' replies before it had adopted what they carried. Change: the others look at a shared rate (every 2 s in small fleets); refused revisions are remembered for reads, while peers may still hand over one in between; freshness is noted after adoption only.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/fleet/spread.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/fleet/spread.py
@@ -1,9 +1,11 @@
 """Keeps this VM's view current: few VMs watch the platform, all ask peers.
 
-The VMs that rank first for the watch read the platform with a waiting call;
-the others look there now and then only. Every VM asks a few random peers for
-news on a short interval, which passes a revision through the whole fleet in
-a few rounds and tells, at the same time, who is there.
+The VMs that rank first for the watch read the platform with a waiting call.
+The others look there now and then, the rarer the more VMs there are, so that
+a revision is seen within seconds although the platform is away or stale for
+all who watch, and the calls of a large fleet stay few. Every VM asks a few
+random peers for news on a short interval, which passes a revision through
+the whole fleet in a few rounds and tells, at the same time, who is there.
 """
 
 import asyncio
@@ -42,7 +44,11 @@
 _PEERS_A_ROUND: Final = 3
 _PEER_TIMEOUT_SECONDS: Final = 1.0
 _AWAY_PAUSE_SECONDS: Final = 0.5
-_OCCASIONAL_READ_SECONDS: Final = 20.0
+# All VMs that do not watch share this rate of looks at one value.
+_SHARED_READS_PER_SECOND: Final = 4.0
+_SHORTEST_READ_INTERVAL_SECONDS: Final = 2.0
+# Restarts of the whole fleet must not put all looks into the same moment.
+_READ_INTERVAL_SPREAD: Final = (0.5, 1.5)
 
 Listener = Callable[[], None]
 
@@ -66,6 +72,7 @@
         self._on_change = on_change
         self._parts = PartStore()
         self._bundle = PublishedText(0, '{"services": {}}')
+        self._refused: dict[str, int] = {}
         self._random = random.Random()
         self._wants_history = True
         self._adopting = asyncio.Lock()
@@ -85,7 +92,7 @@
             is_watcher = self._is_watcher()
             outcome = await self._platform.read(
                 name,
-                self._held_revision(name),
+                self._judged_revision(name),
                 self._tunables.platform_wait_seconds if is_watcher else 0,
             )
             if isinstance(outcome, PlatformAway):
@@ -95,8 +102,11 @@
             if not isinstance(outcome, NoNewer):
                 published = PublishedText(outcome.revision, outcome.text)
                 await self._adopt(name, published, from_vm=None)
+                if self._judged_revision(name) < published.revision:
+                    # Not all of its parts could be read yet.
+                    await asyncio.sleep(_AWAY_PAUSE_SECONDS)
             if not is_watcher:
-                await asyncio.sleep(_OCCASIONAL_READ_SECONDS)
+                await asyncio.sleep(self._read_interval())
 
     async def run_gossip(self) -> None:
         """Asks a few peers for news on every interval, for ever."""
@@ -121,6 +131,22 @@
             return self._view.vm_list.revision
         return self._bundle.revision
 
+    def _has_bundle(self, published: PublishedText) -> bool:
+        return self._bundle.revision >= published.revision
+
+    def _judged_revision(self, name: str) -> int:
+        # A refused revision is not read again and again; one between it and
+        # the one in force may still come from a peer.
+        return max(self._held_revision(name), self._refused.get(name, 0))
+
+    def _read_interval(self) -> float:
+        members = len(self._view.vm_list.vms)
+        interval = max(
+            _SHORTEST_READ_INTERVAL_SECONDS,
+            members / _SHARED_READS_PER_SECOND,
+        )
+        return interval * self._random.uniform(*_READ_INTERVAL_SPREAD)
+
     async def _ask_news(self, vm: str) -> None:
         asked_at = now()
         reply = await self._peers.ask(
@@ -136,7 +162,6 @@
         )
         if isinstance(reply, PeerSilent):
             return
-        self._view.freshness.heard(vm, asked_at, reply.heard, now())
         if reply.history:
             self._wants_history = False
         for published in reply.history:
@@ -145,6 +170,10 @@
             await self._adopt('vms', reply.vm_list, from_vm=vm)
         if reply.bundle is not None:
             await self._adopt('bundle', reply.bundle, from_vm=vm)
+        # Only now: a VM that wakes late must not count as fresh before the
+        # withdrawals that it slept through are in force.
+        if reply.bundle is None or self._has_bundle(reply.bundle):
+            self._view.freshness.heard(vm, asked_at, reply.heard, now())
 
     async def _adopt(
         self,
@@ -165,6 +194,7 @@
     def _adopt_list(self, published: PublishedText) -> None:
         vm_list = load_vm_list(published.text, published.revision, 'vms')
         if isinstance(vm_list, Faults):
+            self._refused['vms'] = published.revision
             log_event(
                 'error',
                 'vm-list-refused',
@@ -196,6 +226,7 @@
             )
             return
         if isinstance(assembled, UnusableBundle):
+            self._refused['bundle'] = published.revision
             log_event(
                 'error',
                 'bundle-refused',
