Let a restarted VM hear its peers before its witness takes a first list

Cause: a witness refuses every revision below the first one that it adopts and forgets what it fenced before, so a first list from a stale platform let it take part under a revision that its peers had left. Change: coordination adopts the first list once peers were heard, or after 2.5 s, which a witness without memory abstains anyway.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/coordination.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/coordination.py
@@ -37,6 +37,9 @@
 
 BATCH_KIND: Final = 'coordination'
 _BATCH_TIMEOUT_SECONDS: Final = 1.0
+# Longer than a round of news with a silent peer, shorter than the abstention
+# that a new witness observes anyway.
+_FIRST_LIST_WAIT_SECONDS: Final = 2.5
 
 
 @frozen
@@ -61,6 +64,9 @@
         self._view = view
         self._tunables = tunables
         self._peers = peers
+        self._started_at = started_at
+        self._waiting: tuple[Placement, ...] | None = None
+        self._has_adopted = False
         self._coordinator = Coordinator(
             view.vm,
             incarnation,
@@ -95,13 +101,31 @@
             for shard in range(self._view.terms.shard_count)
         )
 
+    @property
+    def _may_adopt(self) -> bool:
+        moment = now()
+        has_waited = moment - self._started_at >= _FIRST_LIST_WAIT_SECONDS
+        return self._has_adopted or has_waited or self._view.is_fresh(moment)
+
     def register(self, router: PeerRouter) -> None:
         """Answers peers' batches."""
         router.register(BATCH_KIND, Batch, self._answer_batch)
 
     def adopt(self, earlier: tuple[Placement, ...]) -> None:
-        """Takes over the view's newest list and the earlier ones."""
+        """Takes over the view's newest list and the earlier ones.
+
+        The first list waits until peers were heard: a witness refuses every
+        revision below its first one, and the platform may offer a stale one.
+        """
+        if self._may_adopt:
+            self._adopt(earlier)
+        else:
+            self._waiting = earlier
+
+    def _adopt(self, earlier: tuple[Placement, ...]) -> None:
         moment = now()
+        self._has_adopted = True
+        self._waiting = None
         self._coordinator.learn_history(earlier, moment)
         self._coordinator.adopt(self._view.placement, moment)
         self._witness.learn_history(earlier)
@@ -112,6 +136,8 @@
         interval = self._tunables.coordination_interval_ms / 1000
         while True:
             moment = now()
+            if self._waiting is not None and self._may_adopt:
+                self._adopt(self._waiting)
             self._spawn(self._coordinator.tick(moment), for_witness=False)
             self._spawn(self._witness.tick(moment), for_witness=True)
             await asyncio.sleep(interval)
