--- a/packages/testkit/src/jacinthcroft_testkit/internal/caller.py
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/caller.py
@@ -101,23 +101,24 @@
         if not kind.is_idempotent:
             key = make_uuid7(time.time(), self._randomness)
         entrance = self._balancer.pick(now())
-        outcome = await self._send(kind, path, key, entrance)
+        outcome = await self.send(kind, path, key, entrance)
         sendings = 1
         while self._policy.sends_again(outcome, sendings):
             await asyncio.sleep(self._policy.pause_seconds)
             entrance = self._balancer.pick(now(), other_than=entrance.vm)
-            outcome = await self._send(kind, path, key, entrance)
+            outcome = await self.send(kind, path, key, entrance)
             sendings += 1
         self._recorder.settle(outcome)
         return outcome
 
-    async def _send(
+    async def send(
         self,
         kind: RequestKind,
         path: str,
         key: str,
         entrance: Entrance,
     ) -> Outcome:
+        """Sends once through one VM and records both sides of it."""
         number = len(self._recorder.sent)
         sent = Sent(
             number,
@@ -200,4 +201,5 @@
         request_id,
         is_own=stated is not None and stated.path == sent.path,
         is_whole=stated is not None and stated.is_whole,
+        is_replayed=answer.headers.get('idempotency-replayed') is not None,
     )
--- a/packages/testkit/src/jacinthcroft_testkit/internal/history.py
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/history.py
@@ -54,7 +54,8 @@
     """What the caller of one sending received.
 
     `is_own` says that the answer's body states this request's path,
-    `is_whole` that it arrived complete and its digest fits. `outcome` and
+    `is_whole` that it arrived complete and its digest fits, `is_replayed`
+    that it is the recorded answer of an earlier sending. `outcome` and
     `reason` are those of a refusal.
     """
 
@@ -67,6 +68,7 @@
     reason: str = ''
     is_own: bool = True
     is_whole: bool = True
+    is_replayed: bool = False
 
 
 @frozen
