--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/once.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/once.py
@@ -12,6 +12,7 @@
     Reason,
     Refusal,
 )
+from jacinthcroft_daemon.internal.pipeline.reporting import RequestReporter
 from jacinthcroft_daemon.internal.pipeline.runner import Finished, Runner
 from jacinthcroft_daemon.internal.sharing.claims import ClaimService
 from jacinthcroft_decisions.coordination import (
@@ -34,8 +35,14 @@
 class OnceRunner:
     """Runs work that must not repeat."""
 
-    def __init__(self, claims: ClaimService, runner: Runner) -> None:
+    def __init__(
+        self,
+        claims: ClaimService,
+        runner: Runner,
+        reporter: RequestReporter,
+    ) -> None:
         """Claims through `claims`, then runs through `runner`."""
+        self._reporter = reporter
         self._claims = claims
         self._runner = runner
         self._running: set[asyncio.Task[Finished | Refusal]] = set()
@@ -73,6 +80,11 @@
         fingerprint: str,
     ) -> Finished | Refusal:
         claim, verdict = await self._claims.claim(work.claimed_thing)
+        self._reporter.step(
+            work.request_id,
+            'claimed',
+            type(verdict).__name__,
+        )
         if not isinstance(verdict, ClaimGranted):
             return _without_claim(verdict)
         finished = await self._runner.run(work, request, body, fingerprint)
@@ -92,22 +104,13 @@
             )
 
     async def _recorded(self, claim: Claim, finished: Finished) -> Finished:
-        held = bytearray()
-        chunks = aiter(finished.body)
-        async for chunk in chunks:
-            held.extend(chunk)
-            if len(held) > RECORDED_ANSWER_BYTES:
-                rest = _chain(bytes(held), chunks)
-                return Finished(finished.status, finished.headers, rest)
-        self._claims.settle_answered(
-            claim,
-            RecordedAnswer(
-                finished.status,
-                tuple(Header(*pair) for pair in finished.headers),
-                base64.b64encode(held).decode(),
-            ),
-        )
-        return Finished(finished.status, finished.headers, _whole(bytes(held)))
+        body = await _gather(finished.body)
+        if isinstance(body, bytes) and len(body) <= RECORDED_ANSWER_BYTES:
+            headers = tuple(Header(*pair) for pair in finished.headers)
+            encoded = base64.b64encode(body).decode()
+            answer = RecordedAnswer(finished.status, headers, encoded)
+            self._claims.settle_answered(claim, answer)
+        return Finished(finished.status, finished.headers, body)
 
 
 def _without_claim(verdict: ClaimVerdict) -> Finished | Refusal:
@@ -117,7 +120,7 @@
         return Finished(
             answer.status,
             (*headers, ('idempotency-replayed', 'true')),
-            _whole(base64.b64decode(answer.body_base64)),
+            base64.b64decode(answer.body_base64),
         )
     if isinstance(verdict, ClaimRunning):
         return Refusal(
@@ -141,8 +144,18 @@
     )
 
 
-async def _whole(body: bytes) -> AsyncIterator[bytes]:
-    yield body
+async def _gather(
+    body: bytes | AsyncIterator[bytes],
+) -> bytes | AsyncIterator[bytes]:
+    """Returns a short body whole; a longer one goes on as a stream."""
+    if isinstance(body, bytes):
+        return body
+    held = bytearray()
+    async for chunk in body:
+        held.extend(chunk)
+        if len(held) > RECORDED_ANSWER_BYTES:
+            return _chain(bytes(held), body)
+    return bytes(held)
 
 
 async def _chain(
