Give a list that was read back no vote for a lease

Cause: found by review: a witness that read a new list back from another one had voted for nobody, and one with an older vote kept it, so a second VM could gather a majority while the driver's lease of the earlier list still ran. Change: the first votes for nobody for an abstention, the second votes for the driver. Ruled out: copying the other's vote, which may be an older VM's.

--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/__init__.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/__init__.py
@@ -23,6 +23,8 @@
   as they combine records, so lost memory makes keys unknown, never free.
 * Leases over a change of list. The driver waits for the end of every other
   VM's lease; its own is protected by the vote that an installation brings.
+  A witness that reads the new list back from another one has no such vote,
+  so it votes for nobody until the driver's earlier lease must be over.
 * Late messages. Lease requests are numbered, so a late release ends nothing
   that came after it. A released claim's name is kept, so a late copy of the
   claim is refused. Only replies within the claim timeout count for a claim.
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/leases.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/leases.py
@@ -40,12 +40,15 @@
         return (self.holder, self.incarnation) == (holder, incarnation)
 
     def keep_for_driver(
-        self, holder: str, incarnation: str, until: float
+        self,
+        holder: str,
+        incarnation: str,
+        until: float,
     ) -> None:
-        """Votes for the driver of a new list unless another lease runs.
+        """Votes for the driver of a new list, whoever had the vote before.
 
-        The vote blocks others while the driver's lease of the earlier list
-        may still run.
+        The driver has waited for the end of all earlier leases but its own,
+        which may run on: so the vote blocks everybody else.
         """
         if not self.is_of(holder, incarnation):
             self.sequence = 0
@@ -53,6 +56,17 @@
         self.incarnation = incarnation
         self.until = max(self.until, until)
 
+    def block(self, until: float) -> None:
+        """Votes for nobody until the driver's earlier lease must be over.
+
+        A witness that takes a list over from another one, and not from the
+        driver, does not know whose lease may run on.
+        """
+        self.holder = ''
+        self.incarnation = ''
+        self.sequence = 0
+        self.until = max(self.until, until)
+
     def vote(self, request: LeaseRequest, now: float, until: float) -> Outcome:
         """Carries a request out and tells what came of it."""
         if request.action is LeaseAction.RELEASE:
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness.py
@@ -150,6 +150,7 @@
             vouch_from = read_back.vouch_from(state.start_wall_limit)
             witnesses = WitnessSet(read_back.revision, read_back.witnesses)
             memory.restore(witnesses, vouch_from, views)
+            memory.lease.block(now + state.terms.abstention)
         memory.note_whole(read_back.revision, state.terms.history_limit)
         state.read_backs.pop((read_back.shard, read_back.revision))
 
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness_handlers.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness_handlers.py
@@ -127,12 +127,11 @@
         if request.is_cold:
             vouch_from = max(vouch_from, wall + state.terms.vouch_margin)
         memory.install(request, vouch_from)
-        if memory.lease.is_free_for(request.driver, request.incarnation, now):
-            memory.lease.keep_for_driver(
-                request.driver,
-                request.incarnation,
-                now + state.terms.lease_term,
-            )
+        memory.lease.keep_for_driver(
+            request.driver,
+            request.incarnation,
+            now + state.terms.lease_term,
+        )
     return InstallReply(
         request.shard,
         request.revision,
--- a/tests/cover/coordination/test_coordination_witness.py
+++ b/tests/cover/coordination/test_coordination_witness.py
@@ -1,9 +1,9 @@
 """One witness by itself: claims, leases, fences and the read-back."""
 
 from jacinthcroft_decisions.coordination import (
-    MESSAGE_KINDS,
     ClaimRequest,
     FenceRequest,
+    InstallRequest,
     LeaseAction,
     LeaseRequest,
     Outcome,
@@ -33,10 +33,8 @@
     alone = Placement.from_vm_list(make_list(1, ('vm0',)), TERMS)
     witness.adopt(alone, 0)
     witness.tick(4)
-    install = MESSAGE_KINDS['install-request']
-    witness.handle(
-        install(0, 1, ('vm0',), 'vm0', 'i', 0, False, ()), 5, WALL_START + 5
-    )
+    install = InstallRequest(0, 1, ('vm0',), 'vm0', 'i', 0, False, ())
+    witness.handle(install, 5, WALL_START + 5)
     return witness
 
 
@@ -119,3 +117,29 @@
         witness.receive(vm, reply, 9)
     refused = witness.handle(fence, 9, WALL_START)
     assert (refused.outcome, refused.newest) == (Outcome.STALE, 7)
+
+
+def test_a_list_that_was_read_back_brings_no_vote_for_a_lease() -> None:
+    witness = Witness('vm0', 'i', 0, WALL_START, TERMS)
+    placement = Placement.from_vm_list(make_list(1, NAMES[:3]), TERMS)
+    witness.adopt(placement, 0)
+    view = ShardView((), 1, 0, None, (), is_whole=True)
+    for vm in ('vm1', 'vm2'):
+        reply = ReadBackReply(0, 1, Outcome.DONE, 1, 'i', view)
+        witness.receive(vm, reply, 10)
+    request = LeaseRequest(0, 1, 'vm1', 'i', 1, LeaseAction.ACQUIRE)
+    times = (10, 10 + TERMS.lease_term, 10 + TERMS.abstention)
+    replies = [witness.handle(request, now, WALL_START) for now in times]
+    outcomes = [reply.outcome for reply in replies]
+    assert outcomes == [Outcome.HELD, Outcome.HELD, Outcome.DONE]
+
+
+def test_an_installation_overrides_the_votes_of_earlier_lists() -> None:
+    witness = _witness()
+    _lease(witness, 'vm1', 1, LeaseAction.ACQUIRE)
+    witness.adopt(Placement.from_vm_list(make_list(2, ('vm0',)), TERMS), 21)
+    witness.tick(21)
+    install = InstallRequest(0, 2, ('vm0',), 'vm2', 'i', 0, False, ())
+    witness.handle(install, 21, WALL_START)
+    look = LeaseRequest(0, 2, 'vm2', 'i', 1, LeaseAction.LOOK)
+    assert witness.handle(look, 22, WALL_START).outcome is Outcome.FREE
