Ask witnesses in step, wait for a holder to the deadline, retry what was not sent

Change: as in the title; a first list is compared with peers' before it is adopted, missing lists are asked for, settlements reach a newer list's witnesses.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/app.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/app.py
@@ -84,6 +84,7 @@
             self._peers,
             incarnation,
             started_at,
+            self._spread.want_history,
         )
         self._metrics = Metrics.from_limits(
             settings.tunables.metric_teams,
--- a/packages/daemon/src/jacinthcroft_daemon/internal/fleet/spread.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/fleet/spread.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from jacinthcroft_config import Faults, Tunables, load_vm_list
+from jacinthcroft_config import Faults, Tunables, VmList, load_vm_list
 from jacinthcroft_decisions.coordination import Placement
 from jacinthcroft_http import now
 
@@ -50,6 +50,10 @@
 # Restarts of the whole fleet must not put all looks into the same moment.
 _READ_INTERVAL_SPREAD: Final = (0.5, 1.5)
 
+# Peers asked for the newest list before the first one is adopted.
+_FIRST_PEERS: Final = 16
+_HISTORY_INTERVAL_SECONDS: Final = 2.0
+
 Listener = Callable[[], None]
 
 
@@ -75,6 +79,7 @@
         self._refused: dict[str, int] = {}
         self._random = random.Random()
         self._wants_history = True
+        self._history_at = 0.0
         self._adopting = asyncio.Lock()
 
     def register(self, router: PeerRouter) -> None:
@@ -83,8 +88,9 @@
         router.register('parts', PartsQuestion, self._answer_parts)
 
     def want_history(self) -> None:
-        """Asks peers for earlier VM lists in the next round."""
-        self._wants_history = True
+        """Asks peers for earlier VM lists in one of the next rounds."""
+        if now() - self._history_at > _HISTORY_INTERVAL_SECONDS:
+            self._wants_history = True
 
     async def run_platform_watch(self, name: str) -> None:
         """Reads one published value again and again, for ever."""
@@ -164,8 +170,9 @@
             return
         if reply.history:
             self._wants_history = False
-        for published in reply.history:
-            self._view.remember_list(published)
+            self._history_at = now()
+        if self._remember(reply.history):
+            self._on_change()
         if reply.vm_list is not None:
             await self._adopt('vms', reply.vm_list, from_vm=vm)
         if reply.bundle is not None:
@@ -187,12 +194,17 @@
             if published.revision <= self._held_revision(name):
                 return
             if name == 'vms':
-                self._adopt_list(published)
+                await self._adopt_list(published)
             else:
                 await self._adopt_bundle(published, from_vm)
 
-    def _adopt_list(self, published: PublishedText) -> None:
+    async def _adopt_list(self, published: PublishedText) -> None:
         vm_list = load_vm_list(published.text, published.revision, 'vms')
+        if isinstance(vm_list, VmList) and not self._view.vm_list.revision:
+            # What the platform shows may be old, and a restarted witness
+            # relies on its first list being the newest that peers know.
+            published = await self._newest_of_peers(vm_list, published)
+            vm_list = load_vm_list(published.text, published.revision, 'vms')
         if isinstance(vm_list, Faults):
             self._refused['vms'] = published.revision
             log_event(
@@ -206,6 +218,41 @@
             log_event('info', 'vm-list-adopted', revision=published.revision)
             self._on_change()
 
+    async def _newest_of_peers(
+        self,
+        vm_list: VmList,
+        published: PublishedText,
+    ) -> PublishedText:
+        question = NewsQuestion(published.revision, 0, wants_history=True)
+        others = [vm for vm in vm_list.vms if vm.name != self._view.vm]
+        replies = await asyncio.gather(
+            *(
+                self._peers.ask_at(
+                    vm.peers,
+                    vm.name,
+                    'news',
+                    question,
+                    NewsReply,
+                    _PEER_TIMEOUT_SECONDS,
+                )
+                for vm in others[:_FIRST_PEERS]
+            ),
+        )
+        for reply in replies:
+            if isinstance(reply, PeerSilent):
+                continue
+            self._remember(reply.history)
+            offered = reply.vm_list
+            if offered and offered.revision > published.revision:
+                published = offered
+        return published
+
+    def _remember(self, history: tuple[PublishedText, ...]) -> bool:
+        known = len(self._view.list_history)
+        for published in history:
+            self._view.remember_list(published)
+        return len(self._view.list_history) > known
+
     async def _adopt_bundle(
         self,
         published: PublishedText,
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/attempt.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/attempt.py
@@ -57,6 +57,7 @@
     """Provably nothing left this VM, or the target proved it ran nothing."""
 
     detail: str
+    is_shed: bool = False
 
 
 @dataclass(frozen=True)
@@ -180,7 +181,7 @@
         if answer.status == _UNAVAILABLE and headers.get('x-shed') == '1':
             answer.close()
             self._finish(ticket, RunOutcome.SHED, started_at, answer)
-            return NotSent('the target shed the request')
+            return NotSent('the target shed the request', is_shed=True)
         if not answer.is_framed:
             # Its end is the connection's end, and a target that dies in the
             # middle would pass for one that has finished.
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/runner.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/runner.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from attrs import define, field
 from jacinthcroft_daemon.internal.pipeline.admission import Work
 from jacinthcroft_daemon.internal.pipeline.attempt import (
     Attempts,
@@ -27,6 +28,7 @@
 from jacinthcroft_daemon.internal.sharing.quarantine import QuarantineService
 from jacinthcroft_daemon.internal.sharing.tokens import NoToken, TokenService
 from jacinthcroft_decisions.traffic import (
+    AttemptTimeout,
     HeldPermit,
     RetryBudget,
     RunOutcome,
@@ -38,12 +40,17 @@
 # A request waits this long for a token before its rate counts as exceeded;
 # it evens out the moments between two grants.
 TOKEN_PATIENCE_SECONDS: Final = 0.25
-# The first attempt of an idempotent request may use this share of the time
-# that is left, so that a stalling target leaves room for a second one.
-_FIRST_ATTEMPT_SHARE: Final = 0.5
 _SERVER_ERROR: Final = 500
 
 
+@define
+class _ServiceState:
+    """What this VM has seen of one service's attempts."""
+
+    budget: RetryBudget = field(factory=RetryBudget)
+    timeout: AttemptTimeout = field(factory=AttemptTimeout)
+
+
 @dataclass(frozen=True)
 class Finished:
     """The work's own answer, from its target."""
@@ -70,7 +77,7 @@
         self._attempts = attempts
         self._quarantine = quarantine
         self._reporter = reporter
-        self._budgets: dict[str, RetryBudget] = {}
+        self._states: dict[str, _ServiceState] = {}
 
     async def run(
         self,
@@ -80,8 +87,8 @@
         fingerprint: str,
     ) -> Finished | Refusal:
         """Returns the answer or an honest refusal."""
-        budget = self._budget(work.service.name)
-        budget.note_request(now())
+        state = self._state(work.service.name)
+        state.budget.note_request(now())
         may_have_run = False
         refusal = _refused(work, Reason.DEADLINE_EXCEEDED, 'no time was left')
         for attempt in range(MAX_ATTEMPTS):
@@ -93,13 +100,16 @@
                 'dispatched',
                 ticket.permit.target,
             )
+            started_at = now()
             outcome = await self._attempts.send(
                 work,
                 request,
                 body,
                 ticket,
-                _attempt_timeout(work, attempt),
+                _attempt_timeout(work, body, attempt, state),
             )
+            if not isinstance(outcome, NotSent):
+                state.timeout.note(now() - started_at)
             if isinstance(outcome, Delivered):
                 return Finished(
                     outcome.status,
@@ -112,7 +122,7 @@
                 refusal = await self._after_loss(work, outcome, fingerprint)
             else:
                 refusal = _refused(work, Reason.TARGET_FAILED, outcome.detail)
-            if not self._may_retry(work, body, outcome, refusal, budget):
+            if not self._may_retry(work, body, outcome, refusal, state.budget):
                 break
         return _with_truth(refusal, may_have_run)
 
@@ -145,6 +155,7 @@
             work.service,
             work.team,
             patience_until,
+            work.deadline,
         )
         if not isinstance(token, NoToken):
             return token
@@ -213,23 +224,33 @@
             return False
         if refusal.reason is Reason.QUARANTINED:
             return False
+        if isinstance(outcome, NotSent) and not outcome.is_shed:
+            # No target was asked, so the retry adds no load to any.
+            return True
         if not budget.may_retry(now()):
             return False
         budget.note_retry(now())
         return True
 
-    def _budget(self, service: str) -> RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = RetryBudget()
-            self._budgets[service] = budget
-        return budget
+    def _state(self, service: str) -> _ServiceState:
+        state = self._states.get(service)
+        if state is None:
+            state = _ServiceState()
+            self._states[service] = state
+        return state
 
 
-def _attempt_timeout(work: Work, attempt: int) -> float:
+def _attempt_timeout(
+    work: Work,
+    body: RequestBody,
+    attempt: int,
+    state: _ServiceState,
+) -> float:
     remaining = max(work.deadline - now(), 0)
-    if work.route.is_idempotent and attempt == 0:
-        return remaining * _FIRST_ATTEMPT_SHARE
+    may_repeat = work.route.is_idempotent and body.is_repeatable
+    # Giving up early helps only where a second attempt can follow.
+    if attempt == 0 and may_repeat and state.budget.may_retry(now()):
+        return state.timeout.first(remaining)
     return remaining
 
 
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/claims.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/claims.py
@@ -78,11 +78,12 @@
 
     def settle_released(self, claim: Claim) -> None:
         """Tells the witnesses that this claim never will be dispatched."""
-        self._settle(claim.settle_released())
+        self._settle(claim.settle_released(self._view.placement))
 
     def settle_answered(self, claim: Claim, answer: RecordedAnswer) -> None:
         """Lets the witnesses keep the answer for resends."""
-        self._settle(claim.settle_answered(answer))
+        placement = self._view.placement
+        self._settle(claim.settle_answered(answer, placement))
 
     async def finish_settling(self) -> None:
         """Waits until the settlements under way have been tried."""
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/coordination.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/coordination.py
@@ -8,7 +8,7 @@
 import asyncio
 import time
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from attrs import frozen
@@ -74,11 +74,13 @@
         peers: PeerClient,
         incarnation: str,
         started_at: float,
+        on_missing_lists: Callable[[], None],
     ) -> None:
         """Starts as a new incarnation that remembers nothing."""
         self._view = view
         self._tunables = tunables
         self._peers = peers
+        self._on_missing_lists = on_missing_lists
         self._started_at = started_at
         self._waiting: tuple[Placement, ...] | None = None
         self._has_adopted = False
@@ -156,6 +158,8 @@
                 self._adopt(self._waiting)
             self._spawn(self._coordinator.tick(moment), for_witness=False)
             self._spawn(self._witness.tick(moment), for_witness=True)
+            if self._coordinator.missing_revisions:
+                self._on_missing_lists()
             await asyncio.sleep(interval)
 
     async def release(self) -> None:
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/tokens.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/tokens.py
@@ -86,8 +86,13 @@
         service: Service,
         team: Team,
         patience_until: float,
+        deadline: float,
     ) -> SpentToken | NoToken:
-        """Spends one token, waiting for it until `patience_until`."""
+        """Spends one token, waiting for it until `patience_until`.
+
+        While no VM holds the team's shard the wait goes on to the deadline:
+        the team may be well inside its rate.
+        """
         team_key = f'{service.name}/{team.name}'
         spending = self._spending(team_key)
         spending.purse.note_demand(now())
@@ -100,7 +105,8 @@
             if shortage is None:
                 continue
             pause = max(shortage.retry_after, _MIN_PAUSE_SECONDS)
-            if now() + pause > patience_until:
+            limit = patience_until if shortage.has_holder else deadline
+            if now() + pause > limit:
                 return shortage
             await asyncio.sleep(pause)
 
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/holds.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/holds.py
@@ -64,7 +64,9 @@
         interval = self.terms.renew_interval
         if not self.is_acting(now):
             interval = self.terms.look_interval
-        if now - self._asked_at < interval:
+        # All shards of a VM ask at the same moments, so that their requests
+        # share batches: traffic grows with pairs of VMs, not with shards.
+        if now // interval <= self._asked_at // interval:
             return False
         self._asked_at = now
         return True
--- a/packages/decisions/src/jacinthcroft_decisions/traffic.py
+++ b/packages/decisions/src/jacinthcroft_decisions/traffic.py
@@ -1,5 +1,8 @@
 """Team tokens, permits, target health, retries and quarantine."""
 
+from jacinthcroft_decisions.internal.traffic.attempt_timeout import (
+    AttemptTimeout,
+)
 from jacinthcroft_decisions.internal.traffic.baselines import (
     ConsecutiveErrors,
     FixedShare,
@@ -53,6 +56,7 @@
 )
 
 __all__ = (
+    'AttemptTimeout',
     'Cell',
     'CellEvent',
     'CellHandover',
