Keep a cancelled run's slot until its target can have noticed

Ruled out: the handover and the lease; two of the overlaps seen in full were of runs with the result 'cancelled'. Change: a permit returned as stalled or cancelled frees its slot 0.25 s later. Not held: a target that pauses for longer than 0.25 s while requests that were given up lie unread in its sockets.

--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell.py
@@ -32,6 +32,7 @@
     PermitAsk,
     PermitRenewal,
     PermitReport,
+    RunOutcome,
 )
 from jacinthcroft_decisions.internal.traffic.probe_plan import (
     PROBE_LEAD_SECONDS,
@@ -40,6 +41,9 @@
 from jacinthcroft_decisions.internal.traffic.target_choice import TargetChoice
 from jacinthcroft_decisions.internal.traffic.target_pool import TargetPool
 
+# The VM closed the connection; the target may still be at work.
+_CANCELLING = frozenset((RunOutcome.STALLED, RunOutcome.CANCELLED))
+
 
 class Cell:
     """The holder's side of one cell.
@@ -143,7 +147,10 @@
             known.slots.note_run(report.permit_id, report.run_number)
             self._pool.observe(report, use, now)
         if report.is_returned:
-            known.slots.release(report.permit_id)
+            if report.outcome in _CANCELLING:
+                known.slots.settle(report.permit_id, now)
+            else:
+                known.slots.release(report.permit_id)
             return None
         if len(self._queue):
             # Others wait: whoever's turn it is gets the slot.
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/slot_table.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/slot_table.py
@@ -10,6 +10,8 @@
 
 # Allows for clocks of two VMs that run apart during one permit's life.
 CLOCK_MARGIN_SECONDS = 0.05
+# A target notices this late that the connection of a run was closed.
+CANCELLATION_SECONDS = 0.25
 
 
 @frozen
@@ -111,6 +113,13 @@
         """Frees the slot of a returned permit."""
         self._holds.pop(permit_id, None)
 
+    def settle(self, permit_id: str, now: float) -> None:
+        """Frees a slot once its target has noticed a cancellation."""
+        hold = self._holds.get(permit_id)
+        if hold is not None:
+            settled_at = now + CANCELLATION_SECONDS
+            hold.free_at = min(hold.free_at, settled_at)
+
     def release_overdue(self, now: float) -> None:
         """Frees the slots of permits that were never returned."""
         for permit_id, hold in tuple(self._holds.items()):
--- /dev/null
+++ b/tests/cover/traffic/test_cancelled_runs.py
@@ -0,0 +1,33 @@
+"""A slot is free only once its target has noticed a cancellation."""
+
+import pytest
+from jacinthcroft_decisions.internal.traffic.slot_table import (
+    CANCELLATION_SECONDS,
+)
+from jacinthcroft_decisions.traffic import RunOutcome
+
+from tests.cover.traffic.builders import Driver, make_ask, make_service
+
+
+@pytest.mark.parametrize(
+    ('outcome', 'is_free_at_once'),
+    [
+        (RunOutcome.ANSWERED, True),
+        (RunOutcome.STALLED, False),
+        (RunOutcome.CANCELLED, False),
+    ],
+)
+def test_the_slot_of_a_cancelled_run_stays_taken_for_a_moment(
+    outcome: RunOutcome,
+    is_free_at_once: bool,
+) -> None:
+    driver = Driver(make_service(targets=1, slots=1))
+    driver.cell.ask(make_ask(), driver.now)
+    granted = driver.cell.grants(driver.now, driver.now + 3)
+    driver.cell.ask(make_ask(), driver.now)
+    driver.answer(granted[0].permit, 'vm0', outcome)
+    at_once = driver.cell.grants(driver.now, driver.now + 3)
+    assert bool(at_once) == is_free_at_once
+    later = driver.now + CANCELLATION_SECONDS
+    driver.cell.tick(later)
+    assert bool(driver.cell.grants(later, later + 3)) != is_free_at_once
