--- /dev/null
+++ b/tests/cover/fleet/test_news.py
@@ -0,0 +1,149 @@
+"""What a VM takes over from the platform and from its peers' news."""
+
+import asyncio
+import hashlib
+import json
+from typing import Any
+
+from jacinthcroft_config import Tunables, VmList, hash_key, load_vm_list
+from jacinthcroft_daemon.internal.fleet.messages import NewsReply, PartsReply
+from jacinthcroft_daemon.internal.fleet.spread import Spread
+from jacinthcroft_daemon.internal.fleet.view import FleetView, PublishedText
+from jacinthcroft_daemon.internal.peers import PeerClient, Signer
+from jacinthcroft_daemon.internal.platform import NoNewer, PlatformValue
+from jacinthcroft_decisions.coordination import CoordinationTerms
+from jacinthcroft_http import ConnectionPool, PoolLimits, now
+
+_SERVICE = f"""
+service = "labels"
+[limits]
+slots = 1
+cold_slots = 1
+cold_start_seconds = 1.0
+connections = 10
+floor = 0.5
+[[routes]]
+name = "look"
+methods = ["GET"]
+path = "/labels"
+teams = ["shop"]
+idempotent = true
+class = "labels"
+deadline_ms = 1000
+[teams.shop]
+rate = 1.0
+burst = 1
+keys = ["sha256:{hash_key('key')}"]
+[targets.t1]
+address = "127.0.0.1:9"
+zone = "muc1"
+"""
+_TURNS = 100
+_DIGEST = hashlib.sha256(_SERVICE.encode()).hexdigest()
+_BUNDLE = json.dumps({'services': {'labels': _DIGEST}})
+_LIST = json.dumps(
+    {
+        'vms': [
+            {
+                'name': name,
+                'zone': 'muc1',
+                'state': 'live',
+                'callers': f'{host}:1',
+                'peers': f'{host}:2',
+                'operators': f'{host}:3',
+            }
+            for name, host in (('vm1', '127.0.0.1'), ('vm2', '127.0.0.2'))
+        ],
+        'zones_out': [],
+    },
+)
+
+
+class _Platform:
+    """Offers one bundle for ever, or nothing, and counts the reads."""
+
+    def __init__(self, bundle: str | None = None) -> None:
+        self.reads = 0
+        self._bundle = bundle
+
+    async def read(
+        self,
+        name: str,
+        after: int,
+        wait_seconds: float,
+    ) -> PlatformValue | NoNewer:
+        self.reads += 1
+        await asyncio.sleep(0)
+        if self._bundle is None or after >= 3:
+            await asyncio.Event().wait()
+        return PlatformValue(name, 3, self._bundle or '')
+
+
+class _Peers(PeerClient):
+    """A peer with news, which hands its parts over only when released."""
+
+    def __init__(self) -> None:
+        pool = ConnectionPool.from_limits(PoolLimits())
+        super().__init__('vm1', Signer(b'secret'), pool, lambda _: None)
+        self.asked_for_parts = asyncio.Event()
+        self.released = asyncio.Event()
+
+    async def ask(
+        self,
+        to_vm: str,
+        kind: str,
+        question: object,
+        reply_type: type[Any],
+        timeout: float,
+    ) -> Any:
+        if kind == 'news':
+            bundle = PublishedText(2, _BUNDLE)
+            return NewsReply(None, bundle, (), ())
+        self.asked_for_parts.set()
+        await self.released.wait()
+        return PartsReply((_SERVICE,))
+
+
+def _view() -> FleetView:
+    view = FleetView('vm1', 'muc1', CoordinationTerms(), now())
+    vm_list = load_vm_list(_LIST, 1, 'vms')
+    assert isinstance(vm_list, VmList)
+    view.adopt_list(vm_list, _LIST)
+    return view
+
+
+def test_a_vm_is_not_fresh_before_the_news_that_it_heard_is_in_force() -> None:
+    async def scenario() -> None:
+        view, peers, adopted = _view(), _Peers(), asyncio.Event()
+        spread = Spread(view, Tunables(), _Platform(), peers, adopted.set)
+        gossip = asyncio.create_task(spread.run_gossip())
+        await peers.asked_for_parts.wait()
+        assert not view.is_fresh(now())
+        peers.released.set()
+        await adopted.wait()
+        assert view.configuration.revision == 2
+        gossip.cancel()
+
+    asyncio.run(asyncio.wait_for(scenario(), 10))
+
+
+def test_a_refused_revision_is_read_once_and_a_peers_older_one_adopted() -> (
+    None
+):
+    async def scenario() -> None:
+        view, peers, adopted = _view(), _Peers(), asyncio.Event()
+        platform = _Platform('no bundle at all')
+        spread = Spread(view, Tunables(), platform, peers, adopted.set)
+        watch = asyncio.create_task(spread.run_platform_watch('bundle'))
+        for _ in range(_TURNS):
+            await asyncio.sleep(0)
+        assert platform.reads == 2
+        gossip = asyncio.create_task(spread.run_gossip())
+        await peers.asked_for_parts.wait()
+        peers.released.set()
+        await adopted.wait()
+        assert view.configuration.revision == 2
+        for loop in (watch, gossip):
+            loop.cancel()
+
+    asyncio.run(asyncio.wait_for(scenario(), 10))
