Blame targets less for the callers' hurry; keep permits only where there is room (in work)

Change: permits are asked for only while an answer can still come; a hurried connect is no blame; the holder, not the VM, says whether a permit may be kept.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/attempt.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/attempt.py
@@ -24,6 +24,9 @@
 )
 
 _UNAVAILABLE: Final = 503
+# A connection that had less time than this speaks against the request's
+# deadline, not against the target.
+_MIN_CONNECT_SECONDS: Final = 0.25
 _OWN_ANSWER_HEADERS: Final = (
     'x-boot-id',
     'x-draining',
@@ -118,7 +121,7 @@
             self._finish(ticket, RunOutcome.CANCELLED, started_at)
             raise
         if isinstance(outcome, NothingSent):
-            return self._not_sent(outcome, ticket, started_at)
+            return self._not_sent(outcome, ticket, started_at, timeout)
         if isinstance(outcome, Interrupted):
             return self._lost(outcome, ticket, started_at)
         return await self._interpret(work, outcome, ticket, started_at)
@@ -138,10 +141,14 @@
         outcome: NothingSent,
         ticket: Ticket,
         started_at: float,
+        timeout: float,
     ) -> NotSent:
-        run_outcome = RunOutcome.CONNECT_FAILED
-        if outcome.reason == 'withheld':
-            run_outcome = RunOutcome.UNUSED
+        run_outcome = RunOutcome.UNUSED
+        is_hurried = timeout < _MIN_CONNECT_SECONDS
+        is_refused = outcome.reason == 'connect-failed'
+        is_silent = outcome.reason == 'connect-timeout' and not is_hurried
+        if is_refused or is_silent:
+            run_outcome = RunOutcome.CONNECT_FAILED
         self._finish(ticket, run_outcome, started_at)
         return NotSent(f'{outcome.reason}: {outcome.detail}')
 
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/runner.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/runner.py
@@ -92,7 +92,9 @@
         may_have_run = False
         refusal = _refused(work, Reason.DEADLINE_EXCEEDED, 'no time was left')
         for attempt in range(MAX_ATTEMPTS):
-            ticket = await self._acquire(work)
+            remaining = max(work.deadline - now(), 0)
+            latest = work.deadline - state.timeout.reserve(remaining)
+            ticket = await self._acquire(work, latest)
             if isinstance(ticket, Refusal):
                 return _with_truth(ticket, may_have_run)
             self._reporter.step(
@@ -126,11 +128,11 @@
                 break
         return _with_truth(refusal, may_have_run)
 
-    async def _acquire(self, work: Work) -> Ticket | Refusal:
+    async def _acquire(self, work: Work, latest: float) -> Ticket | Refusal:
         token = await self._acquire_token(work)
         if isinstance(token, Refusal):
             return token
-        permit = await self._acquire_permit(work)
+        permit = await self._acquire_permit(work, latest)
         if isinstance(permit, Refusal):
             self._put_back(work, token)
             return permit
@@ -173,12 +175,16 @@
             1,
         )
 
-    async def _acquire_permit(self, work: Work) -> HeldPermit | Refusal:
+    async def _acquire_permit(
+        self,
+        work: Work,
+        latest: float,
+    ) -> HeldPermit | Refusal:
         permit = await self._permits.acquire(
             work.service,
             work.team_name,
             work.route.request_class,
-            work.deadline,
+            latest,
         )
         if not isinstance(permit, NoPermit):
             return permit
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/permits.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/permits.py
@@ -41,10 +41,6 @@
 _REPORT_TIMEOUT_SECONDS: Final = 1.0
 _REPORT_TRIES: Final = 3
 _HOUSEKEEPING_SECONDS: Final = 0.1
-# A permit that took longer than this to get is wanted elsewhere too; for a
-# while, permits then go back after each request instead of being kept.
-_CONTENTION_WAIT_SECONDS: Final = 0.02
-_CONTENTION_MEMORY_SECONDS: Final = 1.0
 
 
 @dataclass(frozen=True)
@@ -74,7 +70,6 @@
 
     purse: PermitPurse
     waiters: deque[_Waiter] = field(factory=deque)
-    contended_until: float = 0.0
     reporting: asyncio.Task[None] | None = None
 
 
@@ -144,7 +139,7 @@
             latency,
             boot_id,
             is_draining,
-            bool(desk.waiters) or now() >= desk.contended_until,
+            bool(desk.waiters),
             now(),
         )
         self._serve_waiters(desk)
@@ -213,8 +208,6 @@
         while now() < question.deadline and not waiter.future.done():
             asked_at = now()
             reply = await self._ask_holder(question)
-            if now() - asked_at > _CONTENTION_WAIT_SECONDS:
-                desk.contended_until = now() + _CONTENTION_MEMORY_SECONDS
             if reply.permit is not None:
                 desk.purse.add(reply.permit, asked_at, now())
                 self._serve_waiters(desk)
@@ -280,9 +273,6 @@
             sent_at = now()
             answered = await self._send_batch(batch)
             if answered.reply is not None:
-                if answered.reply.recalled:
-                    moment = now()
-                    desk.contended_until = moment + _CONTENTION_MEMORY_SECONDS
                 desk.purse.renew(
                     answered.reply.renewals,
                     answered.reply.recalled,
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/attempt_timeout.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/attempt_timeout.py
@@ -33,6 +33,17 @@
         """
         self._latencies.note(latency)
 
+    def reserve(self, remaining: float) -> float:
+        """Returns the seconds to keep back for the answer while waiting.
+
+        A request that gets its permit too late to be answered would only
+        take a slot from one that can be.
+        """
+        if not self._latencies.is_known:
+            return 0
+        limit = remaining * MAX_SHARE_OF_REMAINING
+        return min(limit, self._latencies.high_quantile)
+
     def first(self, remaining: float) -> float:
         """Returns the timeout in seconds of an attempt to be repeated."""
         limit = remaining * MAX_SHARE_OF_REMAINING
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/permit_issuer.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/permit_issuer.py
@@ -71,6 +71,7 @@
             address_port=known.target.address.port,
             # The VM counts from before it asked, and it waited here.
             start_within=window + now - waiting.arrived_at,
+            may_be_kept=self._pool.is_roomy(now),
         )
 
     def renew(
@@ -88,7 +89,7 @@
             return None
         window = self._start_window(now)
         slots.renew(permit_id, now, now + window + self._longest_run)
-        return PermitRenewal(permit_id, window)
+        return PermitRenewal(permit_id, window, self._pool.is_roomy(now))
 
     def hand_over(self, now: float) -> CellHandover:
         """Closes for good; returns what is outstanding."""
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/permit_messages.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/permit_messages.py
@@ -36,7 +36,8 @@
     """Leave to run one request at a time on one slot of a target.
 
     `start_within` is in seconds from before the VM asked: no run may begin
-    on the permit later.
+    on the permit later. `may_be_kept` tells that the cell has room enough
+    for a VM to keep the permit between two requests.
     """
 
     id: str
@@ -45,6 +46,7 @@
     address_host: str
     address_port: int
     start_within: float
+    may_be_kept: bool = False
 
 
 @frozen
@@ -80,6 +82,7 @@
 
     permit_id: str
     start_within: float
+    may_be_kept: bool = False
 
 
 @frozen
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/permit_purse.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/permit_purse.py
@@ -1,7 +1,7 @@
 """The permits of one cell that a VM has in hand.
 
-A permit is kept for the VM's next request only while requests wait for one;
-else it goes back at once. Its start window counts from before the VM asked,
+A permit is kept for the VM's next request while requests wait for one, or
+where its cell has room; else it goes back at once. Its start window counts from before the VM asked,
 and a permit past its window is never used again.
 """
 
@@ -34,6 +34,7 @@
 class _Owned:
     permit: Permit
     start_by: float
+    may_be_kept: bool
     is_in_use: bool = False
     is_recalled: bool = False
     runs: int = 0
@@ -59,7 +60,8 @@
 
     def add(self, permit: Permit, asked_at: float, now: float) -> None:
         """Takes in a permit; its window counts from `asked_at`."""
-        self._owned[permit.id] = _Owned(permit, asked_at + permit.start_within)
+        start_by = asked_at + permit.start_within
+        self._owned[permit.id] = _Owned(permit, start_by, permit.may_be_kept)
         self.expire(now)
 
     def take(self, now: float) -> HeldPermit | None:
@@ -93,7 +95,8 @@
             return
         owned.is_in_use = False
         is_good = outcome is RunOutcome.ANSWERED and not is_draining
-        may_stay = is_good and is_busy and not owned.is_recalled
+        is_wanted = is_busy or owned.may_be_kept
+        may_stay = is_good and is_wanted and not owned.is_recalled
         is_kept = may_stay and now < owned.start_by
         self._report(owned, outcome, latency, boot_id, is_draining, is_kept)
 
@@ -117,6 +120,7 @@
             if owned is not None:
                 renewed = asked_at + renewal.start_within
                 owned.start_by = max(owned.start_by, renewed)
+                owned.may_be_kept = renewal.may_be_kept
         for permit_id in recalled:
             owned = self._owned.get(permit_id)
             if owned is not None:
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/target_pool.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/target_pool.py
@@ -27,6 +27,8 @@
 from jacinthcroft_decisions.internal.traffic.slot_table import PermitUse
 from jacinthcroft_decisions.internal.traffic.target_health import Standing
 
+# A cell has room while this many times the slots taken are in use at most.
+_ROOMY_FACTOR = 2
 # An idle permit is back within this time, so one that is not is in use.
 OVERDUE_SECONDS = 1.25
 NORM_INTERVAL_SECONDS = 0.25
@@ -67,6 +69,12 @@
             return min(1, allowed)
         return allowed if health.standing is Standing.IN_USE else 0
 
+    def is_roomy(self, now: float) -> bool:
+        """Whether at most half of the slots in use are taken."""
+        running = sum(known.slots.running for known in self.targets.values())
+        allowed = sum(self.allowed(name, now) for name in self.targets)
+        return running * _ROOMY_FACTOR <= allowed
+
     def has_slot(self, name: str, now: float) -> bool:
         """Whether a target may get another permit."""
         return self.targets[name].slots.running < self.allowed(name, now)
