--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/permits.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/permits.py
@@ -198,6 +198,7 @@
             if held is None:
                 return
             desk.waiters.popleft().future.set_result(held)
+        desk.purse.return_surplus(now())
 
     async def _ask_until(
         self,
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/permit_purse.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/permit_purse.py
@@ -127,6 +127,17 @@
                 owned.is_recalled = True
         self.expire(now)
 
+    def return_surplus(self, now: float) -> None:
+        """Gives back idle permits that no request waits for.
+
+        A request that was served by another's permit leaves its own question
+        at the holder; the permit that this brings would lie idle for its
+        whole window while others queue for the slot.
+        """
+        for owned in tuple(self._owned.values()):
+            if _is_idle(owned, now) and not owned.may_be_kept:
+                self._report(owned, RunOutcome.UNUSED, 0, None, False, False)
+
     def expire(self, now: float) -> None:
         """Gives back what is recalled or past its window, and idle."""
         for owned in tuple(self._owned.values()):
--- /dev/null
+++ b/tests/cover/traffic/test_permit_purse.py
@@ -0,0 +1,23 @@
+"""Which permits a VM keeps in hand, and which go back at once."""
+
+from jacinthcroft_decisions.traffic import Permit, PermitPurse, RunOutcome
+
+
+def a_permit(*, may_be_kept: bool) -> Permit:
+    return Permit('p1', 'history', 't1', '127.0.0.1', 9000, 1, may_be_kept)
+
+
+def test_a_permit_that_nobody_waits_for_goes_back_at_once() -> None:
+    purse = PermitPurse('vm1')
+    purse.add(a_permit(may_be_kept=False), 0, 0)
+    purse.return_surplus(0)
+    (report,) = purse.reports(0)
+    assert report.is_returned
+    assert report.outcome is RunOutcome.UNUSED
+
+
+def test_a_permit_stays_in_hand_where_the_cell_has_room() -> None:
+    purse = PermitPurse('vm1')
+    purse.add(a_permit(may_be_kept=True), 0, 0)
+    purse.return_surplus(0)
+    assert purse.idle(0) == 1
