Say key-unknown for what was withdrawn on the way; tell reused keys apart

Cause: a request withheld at dispatch was refused as target-failed (KNOWN-RED entry of the keys proof); a key used again for another request got the first one's answer. Change: the withdrawal itself is the refusal; answers are recorded with the request's fingerprint.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/admission.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/admission.py
@@ -110,14 +110,16 @@
             )
         return self._admit_matched(request, request_id, found)
 
-    def may_still_run(self, work: Work) -> bool:
-        """Whether nothing was withdrawn since the work was admitted."""
+    def withdrawal(self, work: Work) -> Refusal | None:
+        """Returns why admitted work may not run any more, if so."""
         if not self._view.is_fresh(now()):
-            return False
+            return _not_fresh(Outcome.NOT_RUN)
         if work.team is None:
-            return True
+            return None
         team = self._view.teams.team_for(work.service.name, work.key_hash)
-        return team is not None and team.name == work.team.name
+        if team is not None and team.name == work.team.name:
+            return None
+        return _key_unknown(Outcome.NOT_RUN)
 
     def _admit_matched(
         self,
@@ -167,11 +169,7 @@
         key_hash = hash_key(key)
         team = self._view.teams.team_for(match.service.name, key_hash)
         if team is None:
-            return Refusal(
-                Reason.KEY_UNKNOWN,
-                outcome,
-                'no team of this service has this key, or it was withdrawn',
-            )
+            return _key_unknown(outcome)
         if team.name not in match.route.teams:
             return Refusal(
                 Reason.TEAM_NOT_ALLOWED,
@@ -190,12 +188,7 @@
                 _RETRY_SOON_SECONDS,
             )
         if not self._view.is_fresh(moment):
-            return Refusal(
-                Reason.NOT_FRESH,
-                outcome,
-                'this VM has lost touch with the fleet',
-                _RETRY_SOON_SECONDS,
-            )
+            return _not_fresh(outcome)
         return None
 
     def _is_zone_out(self, moment: float) -> bool:
@@ -207,6 +200,23 @@
         return moment - self._zone_out_since > ZONE_OUT_GRACE_SECONDS
 
 
+def _not_fresh(outcome: Outcome) -> Refusal:
+    return Refusal(
+        Reason.NOT_FRESH,
+        outcome,
+        'this VM has lost touch with the fleet',
+        _RETRY_SOON_SECONDS,
+    )
+
+
+def _key_unknown(outcome: Outcome) -> Refusal:
+    return Refusal(
+        Reason.KEY_UNKNOWN,
+        outcome,
+        'no team of this service has this key, or it was withdrawn',
+    )
+
+
 def _not_run(reason: Reason, detail: str) -> Refusal:
     return Refusal(reason, Outcome.NOT_RUN, detail)
 
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/attempt.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/attempt.py
@@ -8,6 +8,7 @@
 from jacinthcroft_config import Address
 from jacinthcroft_daemon.internal.pipeline.admission import Admission, Work
 from jacinthcroft_daemon.internal.pipeline.bodies import RequestBody
+from jacinthcroft_daemon.internal.pipeline.refusals import Refusal
 from jacinthcroft_daemon.internal.pipeline.reported_body import ReportedBody
 from jacinthcroft_daemon.internal.sharing.permits import PermitService
 from jacinthcroft_decisions.traffic import HeldPermit, RunOutcome, SpentToken
@@ -61,6 +62,7 @@
 
     detail: str
     is_shed: bool = False
+    withdrawal: Refusal | None = None
 
 
 @dataclass(frozen=True)
@@ -121,7 +123,7 @@
             self._finish(ticket, RunOutcome.CANCELLED, started_at)
             raise
         if isinstance(outcome, NothingSent):
-            return self._not_sent(outcome, ticket, started_at, timeout)
+            return self._not_sent(work, outcome, ticket, started_at, timeout)
         if isinstance(outcome, Interrupted):
             return self._lost(outcome, ticket, started_at)
         return await self._interpret(work, outcome, ticket, started_at)
@@ -133,11 +135,12 @@
             moment < work.deadline
             and ticket.permit.is_startable(moment)
             and (token is None or token.is_valid(moment))
-            and self._admission.may_still_run(work)
+            and self._admission.withdrawal(work) is None
         )
 
     def _not_sent(
         self,
+        work: Work,
         outcome: NothingSent,
         ticket: Ticket,
         started_at: float,
@@ -150,7 +153,10 @@
         if is_refused or is_silent:
             run_outcome = RunOutcome.CONNECT_FAILED
         self._finish(ticket, run_outcome, started_at)
-        return NotSent(f'{outcome.reason}: {outcome.detail}')
+        return NotSent(
+            f'{outcome.reason}: {outcome.detail}',
+            withdrawal=self._admission.withdrawal(work),
+        )
 
     def _lost(
         self,
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/once.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/once.py
@@ -30,6 +30,9 @@
 # Answers up to this size are kept for resends.
 RECORDED_ANSWER_BYTES: Final = 65_536
 _RETRY_SOON_SECONDS: Final = 1.0
+# Recorded along with an answer, so that the same key with another request
+# does not get it; never sent to callers.
+_FINGERPRINT_HEADER: Final = 'x-recorded-fingerprint'
 
 
 class OnceRunner:
@@ -86,14 +89,14 @@
             type(verdict).__name__,
         )
         if not isinstance(verdict, ClaimGranted):
-            return _without_claim(verdict)
+            return _without_claim(verdict, fingerprint)
         finished = await self._runner.run(work, request, body, fingerprint)
         if isinstance(finished, Refusal):
             if finished.outcome is Outcome.NOT_RUN:
                 self._claims.settle_released(claim)
             return finished
         try:
-            return await self._recorded(claim, finished)
+            return await self._recorded(claim, finished, fingerprint)
         except BodyCut as cut:
             # Past this point the server would take it for the caller's own
             # body, which proves that nothing ran.
@@ -103,25 +106,28 @@
                 f'the answer broke off: {cut.cause.detail}',
             )
 
-    async def _recorded(self, claim: Claim, finished: Finished) -> Finished:
+    async def _recorded(
+        self,
+        claim: Claim,
+        finished: Finished,
+        fingerprint: str,
+    ) -> Finished:
         body = await _gather(finished.body)
         if isinstance(body, bytes) and len(body) <= RECORDED_ANSWER_BYTES:
-            headers = tuple(Header(*pair) for pair in finished.headers)
+            pairs = (*finished.headers, (_FINGERPRINT_HEADER, fingerprint))
+            headers = tuple(Header(*pair) for pair in pairs)
             encoded = base64.b64encode(body).decode()
             answer = RecordedAnswer(finished.status, headers, encoded)
             self._claims.settle_answered(claim, answer)
         return Finished(finished.status, finished.headers, body)
 
 
-def _without_claim(verdict: ClaimVerdict) -> Finished | Refusal:
+def _without_claim(
+    verdict: ClaimVerdict,
+    fingerprint: str,
+) -> Finished | Refusal:
     if isinstance(verdict, ClaimAnswered):
-        answer = verdict.answer
-        headers = tuple((one.name, one.value) for one in answer.headers)
-        return Finished(
-            answer.status,
-            (*headers, ('idempotency-replayed', 'true')),
-            base64.b64decode(answer.body_base64),
-        )
+        return _replayed(verdict.answer, fingerprint)
     if isinstance(verdict, ClaimRunning):
         return Refusal(
             Reason.ALREADY_RUNNING,
@@ -144,6 +150,26 @@
     )
 
 
+def _replayed(answer: RecordedAnswer, fingerprint: str) -> Finished | Refusal:
+    recorded = {one.name: one.value for one in answer.headers}
+    if recorded.get(_FINGERPRINT_HEADER) != fingerprint:
+        return Refusal(
+            Reason.IDEMPOTENCY_KEY_REUSED,
+            Outcome.UNKNOWN,
+            'the key belongs to another request: make one for each',
+        )
+    headers = tuple(
+        (one.name, one.value)
+        for one in answer.headers
+        if one.name != _FINGERPRINT_HEADER
+    )
+    return Finished(
+        answer.status,
+        (*headers, ('idempotency-replayed', 'true')),
+        base64.b64decode(answer.body_base64),
+    )
+
+
 async def _gather(
     body: bytes | AsyncIterator[bytes],
 ) -> bytes | AsyncIterator[bytes]:
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/refusals.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/refusals.py
@@ -36,6 +36,7 @@
     IDEMPOTENCY_KEY_MISSING = 'idempotency-key-missing'
     IDEMPOTENCY_KEY_INVALID = 'idempotency-key-invalid'
     IDEMPOTENCY_KEY_EXPIRED = 'idempotency-key-expired'
+    IDEMPOTENCY_KEY_REUSED = 'idempotency-key-reused'
     ALREADY_RUNNING = 'already-running'
     OUTCOME_UNKNOWN = 'outcome-unknown'
     RATE_EXCEEDED = 'rate-exceeded'
@@ -63,6 +64,7 @@
     Reason.IDEMPOTENCY_KEY_MISSING: 400,
     Reason.IDEMPOTENCY_KEY_INVALID: 400,
     Reason.IDEMPOTENCY_KEY_EXPIRED: 409,
+    Reason.IDEMPOTENCY_KEY_REUSED: 422,
     Reason.ALREADY_RUNNING: 409,
     Reason.OUTCOME_UNKNOWN: 409,
     Reason.RATE_EXCEEDED: 429,
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/runner.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/runner.py
@@ -119,6 +119,8 @@
                     outcome.body,
                 )
             self._reporter.step(work.request_id, 'failed', outcome.detail)
+            if isinstance(outcome, NotSent) and outcome.withdrawal:
+                return _with_truth(outcome.withdrawal, may_have_run)
             if isinstance(outcome, Lost):
                 may_have_run = True
                 refusal = await self._after_loss(work, outcome, fingerprint)
