--- a/tests/slow/traffic_support.py
+++ b/tests/slow/traffic_support.py
@@ -75,6 +75,7 @@
     pool: ConnectionPool
     recorder: Recorder = field(factory=Recorder, init=False)
     randomness: random.Random = field(init=False)
+    balancer: Balancer = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Seeds the callers' randomness."""
@@ -88,7 +89,7 @@
         method: str = 'GET',
     ) -> None:
         """Sends requests through all VMs until the last one is settled."""
-        balancer = Balancer(
+        self.balancer = Balancer(
             [
                 Entrance(vm.name, vm.callers)
                 for vm in self.fleet.vms.entries.values()
@@ -98,7 +99,7 @@
             retreat_seconds=0.2,
         )
         caller = Caller(
-            balancer,
+            self.balancer,
             self.recorder,
             self.pool,
             self.randomness,
