--- a/tests/slow/test_crashing_requests.py
+++ b/tests/slow/test_crashing_requests.py
@@ -48,6 +48,11 @@
     asyncio.run(_run())
 
 
+async def _send_through_all(running: Scene) -> list[bytes]:
+    names = running.fleet.vms.names()
+    return [await _send(running, name) for name in names]
+
+
 async def _send(running: Scene, vm: str) -> bytes:
     address = running.fleet.vms.entries[vm].callers
     key = ('authorization', f'Bearer {EXAMPLE_KEY}{TEAM}')
--- a/tests/slow/test_planned_stops.py
+++ b/tests/slow/test_planned_stops.py
@@ -39,8 +39,9 @@
             for _ in range(_STOPS):
                 await running.wait_for_runs(_RATE)
                 await _stop_holder(running)
-            assert not loading.done(), 'the load ended too early'
+            is_loaded = not loading.done()
             await loading
+            assert is_loaded, 'the load ended too early'
             outcomes = [
                 outcome
                 for outcome in running.recorder.outcomes
