--- a/tests/slow/test_crashing_requests.py
+++ b/tests/slow/test_crashing_requests.py
@@ -30,11 +30,8 @@
             await running.fleet.targets.set_faults('*', faults)
             async with running.under_load(30):
                 for _ in range(_SENDINGS):
-                    for vm in running.fleet.vms.names():
-                        await _send(running, vm)
-                bodies = [
-                    await _send(running, vm) for vm in running.fleet.vms.names()
-                ]
+                    await _send_through_all(running)
+                bodies = await _send_through_all(running)
                 await running.wait_for_runs(60)
             runs = await running.runs()
             crashed = {
--- a/tests/slow/test_planned_stops.py
+++ b/tests/slow/test_planned_stops.py
@@ -47,7 +47,8 @@
                 for outcome in running.recorder.outcomes
                 if outcome.number >= warmed_up
             ]
-            assert not [one for one in outcomes if one.kind in _CUT]
+            cut = [one for one in outcomes if one.kind in _CUT]
+            assert not cut
             assert len(outcomes) == len(running.recorder.sent) - warmed_up
             results = {run.result for run in (await running.runs())[-_RATE:]}
             assert results == {RunResult.COMPLETED}
