--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/quarantine.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/quarantine.py
@@ -85,7 +85,9 @@
             verdict = await self._strike_at(vm, strike)
             if verdict is not None:
                 return verdict
-        return False
+        # Without a holder each VM counts what it lost itself; else a request
+        # could go on crashing targets for as long as the shard has none.
+        return self._judge(strike)
 
     async def _strike_at(self, vm: str, strike: Strike) -> bool | None:
         if vm == self._view.vm:
@@ -104,6 +106,9 @@
         shard = self._view.placement.shard_of(thing)
         if not self._coordination.coordinator.holds(shard, now()):
             return None
+        return self._judge(strike)
+
+    def _judge(self, strike: Strike) -> bool:
         remaining = self._quarantine.strike(strike, now())
         if remaining > 0:
             log_event('warning', 'quarantined', fingerprint=strike.fingerprint)
