--- a/packages/testkit/src/jacinthcroft_testkit/bench.py
+++ b/packages/testkit/src/jacinthcroft_testkit/bench.py
@@ -20,6 +20,7 @@
     detection,
     fairness,
     scale,
+    slopes,
     zones,
 )
 from jacinthcroft_testkit.internal.bench.experiments import (
@@ -29,7 +30,7 @@
 from jacinthcroft_testkit.internal.bench.readings import Figure, summarize
 
 # Importing these modules registers their experiments.
-MODULES = (added_latency, detection, fairness, scale, zones)
+MODULES = (added_latency, detection, fairness, scale, slopes, zones)
 _OUT = pathlib.Path('out/bench.json')
 
 
