One way to read a bundle's index; bound bodies; freshness is a majority's

Cause: the daemon read the index by itself beside the configuration package's loader; max_body_bytes and freshness_seconds were settings that nothing read; Freshness could count the platform, which the design rejects and nothing called. Change: loader reused; bodies over the limit refused, undeclared ones cut; the terms take freshness_seconds; the dead rule is gone and its test now says that only a majority counts, which is stricter.

--- a/packages/config/src/jacinthcroft_config/internal/settings.py
+++ b/packages/config/src/jacinthcroft_config/internal/settings.py
@@ -118,7 +118,7 @@
     coordination_interval_ms: Annotated[
         int,
         Whole((20, 1_000)),
-        'Time between two steps of leases, tokens and permits.',
+        'Time between two steps of leases and witnesses.',
     ] = 150
     drain_notice_ms: Annotated[
         int,
@@ -134,8 +134,8 @@
     freshness_seconds: Annotated[
         float,
         Number((1, 60)),
-        'How long a VM that hears neither the platform nor a majority '
-        'of its peers still serves keyed requests.',
+        'How long a VM that does not hear a majority of the fleet, itself '
+        'or through others, still serves requests.',
     ] = 5.0
     platform_wait_seconds: Annotated[
         int,
@@ -160,7 +160,7 @@
     max_body_bytes: Annotated[
         int,
         Whole((1_024, 1_073_741_824)),
-        'Largest body of a request or an answer.',
+        'Largest body of a request.',
     ] = 1_048_576
     queue_limit: Annotated[
         int,
--- a/packages/daemon/src/jacinthcroft_daemon/internal/app.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/app.py
@@ -57,7 +57,9 @@
         self._view = FleetView(
             settings.vm.name,
             settings.vm.zone,
-            CoordinationTerms(),
+            CoordinationTerms(
+                freshness_limit=settings.tunables.freshness_seconds,
+            ),
             started_at,
         )
         self._peers = PeerClient(
--- a/packages/daemon/src/jacinthcroft_daemon/internal/fleet/bundles.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/fleet/bundles.py
@@ -5,16 +5,19 @@
 from the platform.
 """
 
-import hashlib
-import json
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 from jacinthcroft_config import (
+    INDEX_NAME,
+    BundleIndex,
+    BundlePart,
     Configuration,
     Faults,
     Service,
+    digest_of,
     join_services,
+    load_bundle_index,
     load_service,
 )
 
@@ -48,7 +51,7 @@
 
     def add(self, text: str) -> str:
         """Keeps a part under its own digest, which it returns."""
-        digest = hashlib.sha256(text.encode()).hexdigest()
+        digest = digest_of(text)
         self._texts[digest] = text
         return digest
 
@@ -59,11 +62,13 @@
 
     def assemble(self, bundle: PublishedText) -> AssemblyOutcome:
         """Returns the configuration, or what stands in its way."""
-        index = _read_index(bundle.text)
-        if index is None:
-            return UnusableBundle('bundle:services: not a table of digests')
+        index = load_bundle_index(bundle.text, INDEX_NAME)
+        if isinstance(index, Faults):
+            return UnusableBundle(str(index.faults[0]))
         missing = tuple(
-            digest for digest in index.values() if digest not in self._texts
+            part.digest
+            for part in index.parts
+            if part.digest not in self._texts
         )
         if missing:
             return MissingParts(missing)
@@ -71,44 +76,35 @@
 
     def keep_only(self, bundle: PublishedText) -> None:
         """Drops the parts that the bundle in force does not name."""
-        digests = set((_read_index(bundle.text) or {}).values())
-        for digest in set(self._texts) - digests:
+        index = load_bundle_index(bundle.text, INDEX_NAME)
+        assert not isinstance(index, Faults), 'only kept once in force'
+        named = {part.digest for part in index.parts}
+        for digest in set(self._texts) - named:
             self._texts.pop(digest)
             self._services.pop(digest, None)
 
     def _join(
         self,
         revision: int,
-        index: dict[str, str],
+        index: BundleIndex,
     ) -> Configuration | UnusableBundle:
         services: list[tuple[str, Service]] = []
-        for name, digest in index.items():
-            loaded = self._loaded(name, digest)
+        for part in index.parts:
+            loaded = self._loaded(part)
             if isinstance(loaded, Faults):
                 return UnusableBundle(str(loaded.faults[0]))
-            services.append((name, loaded))
+            services.append((part.service, loaded))
         joined = join_services(revision, services)
         if isinstance(joined, Faults):
             return UnusableBundle(str(joined.faults[0]))
         return joined
 
-    def _loaded(self, name: str, digest: str) -> Service | Faults:
+    def _loaded(self, part: BundlePart) -> Service | Faults:
         # Of 1,300 services one changes at a time; the others are not parsed
         # again.
-        loaded = self._services.get(digest)
+        loaded = self._services.get(part.digest)
         if loaded is None:
-            loaded = load_service(self._texts[digest], f'{name}.toml')
-            self._services[digest] = loaded
+            text = self._texts[part.digest]
+            loaded = load_service(text, f'{part.service}.toml')
+            self._services[part.digest] = loaded
         return loaded
-
-
-def _read_index(text: str) -> dict[str, str] | None:
-    try:
-        services = json.loads(text)['services']
-    except (ValueError, KeyError, TypeError):
-        return None
-    if not isinstance(services, dict):
-        return None
-    if not all(isinstance(digest, str) for digest in services.values()):
-        return None
-    return services
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/bodies.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/bodies.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from attrs import frozen
-from jacinthcroft_http import IncomingRequest
+from jacinthcroft_http import BodyCut, IncomingRequest, Interrupted
 
 # Larger bodies are streamed and their requests are not sent a second time.
 HELD_BODY_BYTES: Final = 65_536
@@ -35,10 +35,14 @@
         return _chain(self.held, self.rest)
 
 
-async def hold_body(request: IncomingRequest) -> RequestBody:
-    """Reads the body's beginning, up to what is held."""
+async def hold_body(request: IncomingRequest, limit: int) -> RequestBody:
+    """Reads the body's beginning, up to what is held.
+
+    Raises:
+        BodyCut: When the body breaks off or exceeds `limit` bytes.
+    """
     held = bytearray()
-    chunks = aiter(request.body)
+    chunks = aiter(_bounded(request.body, limit))
     async for chunk in chunks:
         held.extend(chunk)
         if len(held) > HELD_BODY_BYTES:
@@ -46,6 +50,18 @@
     return RequestBody(bytes(held), None)
 
 
+async def _bounded(
+    body: AsyncIterator[bytes],
+    limit: int,
+) -> AsyncIterator[bytes]:
+    size = 0
+    async for chunk in body:
+        size += len(chunk)
+        if size > limit:
+            raise BodyCut(Interrupted('protocol', f'over {limit} bytes'))
+        yield chunk
+
+
 async def _chain(
     held: bytes,
     rest: AsyncIterator[bytes],
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/callers.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/callers.py
@@ -46,6 +46,7 @@
         """Puts the stages of the request path together."""
         self._vm = settings.vm.name
         self._limit = settings.tunables.queue_limit
+        self._max_body_bytes = settings.tunables.max_body_bytes
         self._admission = admission
         self._quarantine = quarantine
         self._runner = runner
@@ -91,9 +92,11 @@
         work: Work,
         request: IncomingRequest,
     ) -> Finished | Refusal:
+        if _declared_bytes(request) > self._max_body_bytes:
+            return _body_too_large(work)
         try:
             async with asyncio.timeout(max(work.deadline - now(), 0)):
-                body = await hold_body(request)
+                body = await hold_body(request, self._max_body_bytes)
         except TimeoutError:
             return _body_too_slow(work)
         mark = fingerprint(
@@ -140,6 +143,19 @@
     )
 
 
+def _declared_bytes(request: IncomingRequest) -> int:
+    declared = request.headers.get('content-length') or ''
+    return int(declared) if declared.isdecimal() else 0
+
+
+def _body_too_large(work: Work) -> Refusal:
+    return Refusal(
+        Reason.BODY_TOO_LARGE,
+        _before_claim(work),
+        'the body is larger than this fleet takes',
+    )
+
+
 def _overloaded(work: Work) -> Refusal:
     return Refusal(
         Reason.OVERLOADED,
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/freshness.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/freshness.py
@@ -33,13 +33,8 @@
 
     vm: str
     terms: CoordinationTerms
-    _platform_at: float = field(default=_NEVER, init=False)
     _heard_at: dict[str, float] = field(factory=dict, init=False)
 
-    def platform_heard(self, asked_at: float) -> None:
-        """Notes that the platform answered a call made at `asked_at`."""
-        self._platform_at = max(self._platform_at, asked_at)
-
     def heard(
         self,
         sender: str,
@@ -63,9 +58,10 @@
         return (HeardFrom(self.vm, 0), *others)
 
     def is_fresh(self, now: float, placement: Placement) -> bool:
-        """Whether the platform or a majority of the list was heard lately."""
-        if self._is_recent(self._platform_at, now):
-            return True
+        """Whether a majority of the list was heard lately.
+
+        The platform does not count: it may be stale for this VM alone.
+        """
         heard = {known.vm for known in self.ages(now)}
         count = len(heard.intersection(placement.members))
         return count >= majority_of(len(placement.members))
--- a/tests/cover/coordination/test_coordination_parts.py
+++ b/tests/cover/coordination/test_coordination_parts.py
@@ -260,11 +260,9 @@
         claim.settle_answered(ANSWER)
 
 
-def test_a_vm_is_fresh_by_the_platform_or_by_a_majority() -> None:
+def test_a_vm_is_fresh_by_nothing_but_a_majority() -> None:
     freshness = Freshness('vm0', CoordinationTerms())
     assert not freshness.is_fresh(0, PLACEMENT)
-    freshness.platform_heard(0)
-    assert freshness.is_fresh(5, PLACEMENT)
     ages = tuple(HeardFrom(vm, 2) for vm in NAMES[2:7])
     freshness.heard('vm1', 10, ages, 12)
     assert freshness.is_fresh(13, PLACEMENT)
