Keep a given-up run's slot until its target has ended it

Cause: a VM that gave a run up (caller gone, attempt timed out) closed its connection and returned the permit; the holder freed the slot 0.25 s later. Where the path to the target is cut in that direction the close never arrives, and the target works on: three runs on two slots. Deadline-Ms told the target the whole request's deadline, and was counted before connecting.

Ruled out: runs that begin late from swallowed bytes (a connection that lost bytes stays cut); answers lost on the way back (their runs have ended).

Change: the pool half-closes a given-up exchange and tells when it is over: answered, closed by the target, or out of time; the permit goes back then. Deadline-Ms is the attempt's time from the first byte; the stand-in target heeds it. A reset or crossed answer's slot waits like a cancelled one's. The fault proxy let resets through a cut; it swallows them now, with a test.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/attempt.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/attempt.py
@@ -4,12 +4,13 @@
 from dataclasses import dataclass
 from typing import Final
 
-from attrs import frozen
+from attrs import field, frozen
 from jacinthcroft_config import Address
 from jacinthcroft_daemon.internal.pipeline.admission import Admission, Work
 from jacinthcroft_daemon.internal.pipeline.bodies import RequestBody
 from jacinthcroft_daemon.internal.pipeline.refusals import Refusal
 from jacinthcroft_daemon.internal.pipeline.reported_body import ReportedBody
+from jacinthcroft_daemon.internal.pipeline.run_end import RunEnd
 from jacinthcroft_daemon.internal.sharing.permits import PermitService
 from jacinthcroft_decisions.traffic import HeldPermit, RunOutcome, SpentToken
 from jacinthcroft_http import (
@@ -86,6 +87,15 @@
     token: SpentToken | None
 
 
+@frozen
+class _Run:
+    """What one attempt began with; `started_at` is on the boot clock."""
+
+    ticket: Ticket
+    started_at: float
+    end: RunEnd = field(factory=RunEnd)
+
+
 class Attempts:
     """Sends attempts and reports how each ended."""
 
@@ -109,41 +119,44 @@
         timeout: float,
     ) -> AttemptOutcome:
         """Sends the request once and returns how it went."""
-        started_at = now()
+        run = _Run(ticket, now())
         outgoing = self._outgoing(work, request, body, ticket)
         try:
             outcome = await self._pool.send(
                 outgoing,
                 timeout,
-                lambda: self._may_send(work, ticket),
+                lambda: self._may_send(work, run),
+                run.end.note_over,
             )
         except BaseException:
             # Cancelled: the caller has gone, and the pool has closed the
             # connection, which passes the cancellation on.
-            self._finish(ticket, RunOutcome.CANCELLED, started_at)
+            self._finish_when_over(run, RunOutcome.CANCELLED)
             raise
         if isinstance(outcome, NothingSent):
-            return self._not_sent(work, outcome, ticket, started_at, timeout)
+            return self._not_sent(work, outcome, run, timeout)
         if isinstance(outcome, Interrupted):
-            return self._lost(outcome, ticket, started_at)
-        return await self._interpret(work, outcome, ticket, started_at)
+            return self._lost(outcome, run)
+        return await self._interpret(work, outcome, run)
 
-    def _may_send(self, work: Work, ticket: Ticket) -> bool:
+    def _may_send(self, work: Work, run: _Run) -> bool:
         moment = now()
-        token = ticket.token
-        return (
+        token = run.ticket.token
+        may_send = (
             moment < work.deadline
-            and ticket.permit.is_startable(moment)
+            and run.ticket.permit.is_startable(moment)
             and (token is None or token.is_valid(moment))
             and self._admission.withdrawal(work) is None
         )
+        if may_send:
+            run.end.note_begun()
+        return may_send
 
     def _not_sent(
         self,
         work: Work,
         outcome: NothingSent,
-        ticket: Ticket,
-        started_at: float,
+        run: _Run,
         timeout: float,
     ) -> NotSent:
         run_outcome = RunOutcome.UNUSED
@@ -152,24 +165,19 @@
         is_silent = outcome.reason == 'connect-timeout' and not is_hurried
         if is_refused or is_silent:
             run_outcome = RunOutcome.CONNECT_FAILED
-        self._finish(ticket, run_outcome, started_at)
+        self._finish(run, run_outcome)
         return NotSent(
             f'{outcome.reason}: {outcome.detail}',
             withdrawal=self._admission.withdrawal(work),
         )
 
-    def _lost(
-        self,
-        outcome: Interrupted,
-        ticket: Ticket,
-        started_at: float,
-    ) -> Lost:
+    def _lost(self, outcome: Interrupted, run: _Run) -> Lost:
         run_outcome = RunOutcome.RESET
         if outcome.reason == 'timeout':
             run_outcome = RunOutcome.STALLED
-        self._finish(ticket, run_outcome, started_at)
+        self._finish(run, run_outcome)
         return Lost(
-            ticket.permit.target,
+            run.ticket.permit.target,
             run_outcome,
             f'{outcome.reason}: {outcome.detail}',
         )
@@ -178,36 +186,35 @@
         self,
         work: Work,
         answer: Answer,
-        ticket: Ticket,
-        started_at: float,
+        run: _Run,
     ) -> AttemptOutcome:
         headers = answer.headers
         answered_id = headers.get('x-request-id')
         if answered_id is not None and answered_id != work.request_id:
             answer.close()
-            self._finish(ticket, RunOutcome.CROSSED, started_at)
+            self._finish_when_over(run, RunOutcome.CROSSED)
             return Lost(
-                ticket.permit.target,
+                run.ticket.permit.target,
                 RunOutcome.CROSSED,
                 'the target answered another request',
             )
         if answer.status == _UNAVAILABLE and headers.get('x-shed') == '1':
             answer.close()
-            self._finish(ticket, RunOutcome.SHED, started_at, answer)
+            self._finish(run, RunOutcome.SHED, answer)
             return NotSent('the target shed the request', is_shed=True)
         if not answer.is_framed:
             # Its end is the connection's end, and a target that dies in the
             # middle would pass for one that has finished.
             answer.close()
-            self._finish(ticket, RunOutcome.RESET, started_at, answer)
+            self._finish_when_over(run, RunOutcome.RESET, answer)
             return Lost(
-                ticket.permit.target,
+                run.ticket.permit.target,
                 RunOutcome.RESET,
                 'the answer does not tell where it ends',
             )
         body = ReportedBody(
             answer,
-            lambda end: self._finish(ticket, end, started_at, answer),
+            lambda end: self._finish_when_over(run, end, answer),
         )
         return Delivered(
             answer.status,
@@ -215,19 +222,39 @@
             await body.at_once(),
         )
 
+    def _finish_when_over(
+        self,
+        run: _Run,
+        outcome: RunOutcome,
+        answer: Answer | None = None,
+    ) -> None:
+        """Finishes once the run is over; where it is already, at once."""
+        ended_at = now()
+        run.end.report_when_over(
+            lambda: self._report(run, outcome, answer, ended_at),
+        )
+
     def _finish(
         self,
-        ticket: Ticket,
+        run: _Run,
         outcome: RunOutcome,
-        started_at: float,
         answer: Answer | None = None,
+    ) -> None:
+        self._report(run, outcome, answer, now())
+
+    def _report(
+        self,
+        run: _Run,
+        outcome: RunOutcome,
+        answer: Answer | None,
+        ended_at: float,
     ) -> None:
         headers = Headers(()) if answer is None else answer.headers
         self._permits.finish(
-            ticket.cell,
-            ticket.permit,
+            run.ticket.cell,
+            run.ticket.permit,
             outcome,
-            now() - started_at,
+            ended_at - run.started_at,
             headers.get('x-boot-id'),
             is_draining=headers.get('x-draining') == '1',
         )
@@ -241,7 +268,6 @@
     ) -> OutgoingRequest:
         permit = ticket.permit
         address = Address(permit.address_host, permit.address_port)
-        remaining_ms = max(int((work.deadline - now()) * 1000), 1)
         kept = strip_hop_by_hop(request.headers).without(*_OWN_REQUEST_HEADERS)
         return OutgoingRequest(
             host=address.host,
@@ -252,7 +278,9 @@
                 ('host', str(address)),
                 ('x-request-id', work.request_id),
                 ('x-team', work.team_name),
-                ('deadline-ms', str(remaining_ms)),
             ),
             body=body.stream(),
+            # The target stops when this attempt does, whether it hears of
+            # the end or not.
+            time_left_header='deadline-ms',
         )
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell.py
@@ -41,8 +41,15 @@
 from jacinthcroft_decisions.internal.traffic.target_choice import TargetChoice
 from jacinthcroft_decisions.internal.traffic.target_pool import TargetPool
 
-# The VM closed the connection; the target may still be at work.
-_CANCELLING = frozenset((RunOutcome.STALLED, RunOutcome.CANCELLED))
+# The connection has ended at the VM; the target may learn it a moment later.
+_CANCELLING = frozenset(
+    (
+        RunOutcome.STALLED,
+        RunOutcome.CANCELLED,
+        RunOutcome.RESET,
+        RunOutcome.CROSSED,
+    ),
+)
 
 
 class Cell:
--- a/packages/http/src/jacinthcroft_http/internal/answer.py
+++ b/packages/http/src/jacinthcroft_http/internal/answer.py
@@ -89,11 +89,11 @@
         return body
 
     def close(self) -> None:
-        """Gives the answer up: closes its connection if still reading."""
+        """Gives the answer up, and its connection if still reading."""
         self._chunks.clear()
         if not self._is_ended:
             self._is_ended = True
-            self._connection.close()
+            self._connection.give_up()
 
     def take_what_came(self) -> None:
         """Takes the part of the body that is here, without waiting."""
--- a/packages/http/src/jacinthcroft_http/internal/client_connection.py
+++ b/packages/http/src/jacinthcroft_http/internal/client_connection.py
@@ -36,9 +36,13 @@
         self._on_released = on_released
         self._on_closed = on_closed
         self._timeout = Timeout()
+        self._on_over: Callable[[], None] | None = None
+        self._is_given_up = False
 
     def data_received(self, data: bytes) -> None:
         """Keeps an answer's bytes; closes when none was asked for."""
+        if self._is_given_up:
+            return
         if self.idle_since is None:
             self.reader.put(data)
         else:
@@ -56,6 +60,7 @@
         super().connection_lost(exc)
         self._timeout.stop()
         self._on_closed(self)
+        self._end_exchange()
 
     def is_usable(self, idle_timeout: float) -> bool:
         """Whether a request may go out on this idle connection.
@@ -67,11 +72,37 @@
             return False
         return now() < self.idle_since + idle_timeout and self.is_quiet
 
-    def begin(self, seconds: float) -> None:
+    def begin(
+        self,
+        seconds: float,
+        on_over: Callable[[], None] | None = None,
+    ) -> None:
         """Begins an exchange that must end within some seconds."""
         self.idle_since = None
+        self._on_over = on_over
         self._timeout.start(seconds, self._expire)
 
+    def withhold(self) -> None:
+        """Closes before the first byte: there was no exchange to be over."""
+        self._on_over = None
+        self.close()
+
+    def give_up(self) -> None:
+        """Tells the other side that its answer is not wanted any more.
+
+        Where somebody waits for the exchange's end, only this side's half is
+        closed. A reset would leave no trace of whether it arrived; so the
+        other side's own close shows that it knows, and the exchange's
+        timeout bounds the wait.
+        """
+        if self._on_over is None or not self.is_open:
+            self.close()
+            return
+        self._is_given_up = True
+        self.fail(ConnectionResetError('closed by this side'))
+        self.reader.clear()
+        self.transport.write_eof()
+
     def close(self) -> None:
         """Closes at once; unsent and unread bytes are dropped."""
         self._timeout.stop()
@@ -81,6 +112,7 @@
     def release(self) -> None:
         """Ends an exchange whose answer has come to its end."""
         self._timeout.stop()
+        self._end_exchange()
         if self._is_reusable():
             self.parser.start_next_cycle()
             self.idle_since = now()
@@ -96,6 +128,12 @@
             and not self.reader.has_unread_bytes
         )
 
+    def _end_exchange(self) -> None:
+        on_over = self._on_over
+        self._on_over = None
+        if on_over is not None:
+            on_over()
+
     def _expire(self) -> None:
         self.fail(TimeoutError('no whole answer in time'))
         self.close()
--- a/packages/http/src/jacinthcroft_http/internal/exchange.py
+++ b/packages/http/src/jacinthcroft_http/internal/exchange.py
@@ -34,7 +34,7 @@
     """
     refusal = _start(connection, request, before_first_byte)
     if refusal is not None:
-        connection.close()
+        connection.withhold()
         return refusal
     try:
         return await _finish(connection, request)
@@ -43,7 +43,7 @@
         return interruption_of(error)
     except BaseException:
         # Cancelled, or the request's body broke off.
-        connection.close()
+        connection.give_up()
         raise
 
 
--- a/packages/http/src/jacinthcroft_http/internal/messages.py
+++ b/packages/http/src/jacinthcroft_http/internal/messages.py
@@ -5,12 +5,13 @@
 from collections.abc import AsyncIterator, Iterable
 from typing import Any, Final
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from jacinthcroft_http.internal.headers import Headers, as_headers
 from jacinthcroft_http.internal.outcomes import BodyTooLarge
 
 BODILESS_STATUSES: Final = frozenset((204, 304))
+_MILLISECONDS_PER_SECOND: Final = 1000
 
 
 async def read_up_to(
@@ -127,7 +128,8 @@
     """A request to another process; `target` is the path and query.
 
     `host` is an IP number. Iterated bodies are sent with the Content-Length
-    among the headers, or else in chunks.
+    among the headers, or else in chunks. `time_left_header` names a header
+    that tells the other side how many milliseconds it has.
     """
 
     host: str
@@ -136,3 +138,16 @@
     target: str
     headers: Headers = field(default=Headers(), converter=as_headers)
     body: bytes | AsyncIterator[bytes] | None = None
+    time_left_header: str | None = None
+
+    def with_time_left(self, seconds: float) -> 'OutgoingRequest':
+        """Returns the request with its time left among the headers.
+
+        Called once the connection is there: the other side counts from the
+        request's arrival, and must not count the time to connect again.
+        """
+        if self.time_left_header is None:
+            return self
+        milliseconds = max(int(seconds * _MILLISECONDS_PER_SECOND), 1)
+        added = (self.time_left_header, str(milliseconds))
+        return evolve(self, headers=self.headers.with_added(added))
--- a/packages/http/src/jacinthcroft_http/internal/pool.py
+++ b/packages/http/src/jacinthcroft_http/internal/pool.py
@@ -57,6 +57,7 @@
         request: OutgoingRequest,
         timeout: float,
         before_first_byte: Callable[[], bool] | None = None,
+        on_over: Callable[[], None] | None = None,
     ) -> SendOutcome:
         """Sends a request, once, and returns its answer or why there is none.
 
@@ -65,6 +66,10 @@
             timeout: Seconds from now to the end of the answer's body.
             before_first_byte: Asked right before the first write, with no
                 await between; the request is withheld if it returns False.
+            on_over: Called once after the first write, when the other side
+                has answered in full, has closed the connection, or has had
+                `timeout` seconds. An exchange that is given up is over only
+                then: the word of it may be lost on the way.
 
         Raises:
             BodyCut: If the request's own iterated body breaks off.
@@ -80,8 +85,9 @@
         if left <= 0:
             connection.close()
             return NothingSent('timeout', 'time ran out before the write')
-        connection.begin(left)
-        return await exchange(connection, request, before_first_byte)
+        connection.begin(left, on_over)
+        timed = request.with_time_left(left)
+        return await exchange(connection, timed, before_first_byte)
 
     async def close(self) -> None:
         """Closes every connection, also those in use."""
--- a/packages/testkit/src/jacinthcroft_testkit/internal/links.py
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/links.py
@@ -25,8 +25,8 @@
 class Mode(enum.Enum):
     """What a link does with one direction's bytes.
 
-    `CUT` swallows bytes and the end of the stream; a connection that has
-    lost bytes stays cut. `FREEZE` keeps bytes back until the mode changes.
+    `CUT` swallows bytes, the end of the stream and resets; a connection that
+    has lost any of these stays cut. `FREEZE` keeps bytes back until the mode changes.
     `RESET` resets present and new connections, `REFUSE` stops listening and
     leaves present connections alone; both hold for the whole link.
     """
@@ -57,6 +57,19 @@
     delay_ms: int = 0
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Closes a connection by a reset instead of an end of stream."""
+    sock = writer.get_extra_info('socket')
+    if sock is not None:
+        with contextlib.suppress(OSError):
+            sock.setsockopt(
+                socket.SOL_SOCKET,
+                socket.SO_LINGER,
+                _RESET_ON_CLOSE,
+            )
+    writer.transport.abort()
+
+
 class Link:
     """One listening port whose connections go to one destination."""
 
@@ -130,7 +143,7 @@
 
     def _reset_all(self) -> None:
         for writer in tuple(self._writers):
-            _reset(writer)
+            reset(writer)
 
     async def _carry(
         self,
@@ -138,7 +151,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         if self._has_mode(Mode.RESET):
-            _reset(writer)
+            reset(writer)
             return
         try:
             far_reader, far_writer = await asyncio.open_connection(
@@ -146,7 +159,7 @@
                 self._destination.port,
             )
         except OSError:
-            _reset(writer)
+            reset(writer)
             return
         ends = {writer, far_writer}
         self._writers |= ends
@@ -210,15 +223,20 @@
         try:
             await self._carry_chunks()
         except OSError:
+            self._note_loss()
             self._pass_on_end(is_reset=True)
             return
         self._pass_on_end(is_reset=False)
 
+    def _note_loss(self) -> None:
+        mode = self._link.setting(self._direction).mode
+        self._has_lost_bytes |= mode is Mode.CUT
+
     def _pass_on_end(self, *, is_reset: bool) -> None:
         if self._has_lost_bytes:
             return
         if is_reset:
-            _reset(self._writer)
+            reset(self._writer)
             return
         with contextlib.suppress(OSError):
             self._writer.write_eof()
@@ -227,13 +245,12 @@
         while True:
             chunk = await self._reader.read(_CHUNK_BYTES)
             await self._link.wait_while_frozen(self._direction)
-            setting = self._link.setting(self._direction)
-            self._has_lost_bytes |= setting.mode is Mode.CUT
+            self._note_loss()
             if not chunk:
                 return
             if self._has_lost_bytes:
                 continue
-            await self._pass_on(chunk, setting)
+            await self._pass_on(chunk, self._link.setting(self._direction))
 
     async def _pass_on(self, chunk: bytes, setting: Setting) -> None:
         if setting.mode is Mode.DELAY:
@@ -241,15 +258,3 @@
         self._writer.write(chunk)
         self._link.count(len(chunk))
         await self._writer.drain()
-
-
-def _reset(writer: asyncio.StreamWriter) -> None:
-    sock = writer.get_extra_info('socket')
-    if sock is not None:
-        with contextlib.suppress(OSError):
-            sock.setsockopt(
-                socket.SOL_SOCKET,
-                socket.SO_LINGER,
-                _RESET_ON_CLOSE,
-            )
-    writer.transport.abort()
--- a/packages/testkit/src/jacinthcroft_testkit/internal/target_server.py
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/target_server.py
@@ -39,6 +39,14 @@
     request: IncomingRequest
     number: int
 
+    @property
+    def seconds_left(self) -> float | None:
+        """What the request's deadline leaves, if it has one."""
+        milliseconds = self.request.headers.get('deadline-ms')
+        if milliseconds is None:
+            return None
+        return int(milliseconds) / _MILLISECONDS_PER_SECOND
+
     @property
     def headers(self) -> list[tuple[str, str]]:
         """The headers of the run's proper answer."""
@@ -168,9 +176,13 @@
         if marker and marker in job.request.target:
             self.crash()
         try:
-            await _work(job.state)
-            ending = _endings[job.state.draw_behaviour()]
-            return await ending(job)
+            async with asyncio.timeout(job.seconds_left):
+                await _work(job.state)
+                ending = _endings[job.state.draw_behaviour()]
+                return await ending(job)
+        except TimeoutError as error:
+            job.finish(RunResult.CANCELLED)
+            raise asyncio.CancelledError from error
         except asyncio.CancelledError:
             job.finish(RunResult.CANCELLED)
             raise
--- a/tests/cover/http/test_http_pool.py
+++ b/tests/cover/http/test_http_pool.py
@@ -19,6 +19,7 @@
     PoolLimits,
     Response,
     SendOutcome,
+    now,
 )
 
 from tests.cover.http.http_peers import (
@@ -363,3 +364,108 @@
         )
         assert all(matches)
         assert bench.pool.idle_connections(HOST, bench.port) <= 8
+
+
+@in_loop
+async def test_a_given_up_exchange_is_over_when_the_target_has_ended_it() -> (
+    None
+):
+    arrived = asyncio.Event()
+    ends: list[str] = []
+
+    async def wait(_: IncomingRequest) -> Response:
+        arrived.set()
+        try:
+            await asyncio.Event().wait()
+        finally:
+            ends.append('run')
+        raise AssertionError
+
+    async with serving(wait) as bench:
+        sending = asyncio.ensure_future(
+            bench.pool.send(
+                bench.request(),
+                9.0,
+                on_over=lambda: ends.append('exchange'),
+            ),
+        )
+        await arrived.wait()
+        sending.cancel()
+        await until(lambda: 'exchange' in ends)
+    assert ends == ['run', 'exchange']
+
+
+@in_loop
+async def test_a_given_up_exchange_of_a_deaf_target_ends_with_its_time() -> (
+    None
+):
+    is_over = asyncio.Event()
+    timeout = 0.3
+    with socket.create_server((HOST, 0)) as listener:
+        port = listener.getsockname()[1]
+        pool = ConnectionPool.from_limits(PoolLimits())
+        begun_at = now()
+        sending = asyncio.ensure_future(
+            pool.send(
+                OutgoingRequest(HOST, port, 'GET', '/'),
+                timeout,
+                on_over=is_over.set,
+            ),
+        )
+        await until(lambda: pool.open_connections(HOST, port) == 1)
+        await asyncio.sleep(0.05)
+        sending.cancel()
+        await asyncio.wait((sending,))
+        assert not is_over.is_set()
+        await is_over.wait()
+        assert now() - begun_at >= timeout
+        await pool.close()
+
+
+@in_loop
+async def test_an_exchange_is_over_once_its_answer_is_whole() -> None:
+    overs: list[None] = []
+    async with serving() as bench:
+        for number in range(2):
+            outcome = await bench.pool.send(
+                bench.request(),
+                1.0,
+                on_over=lambda: overs.append(None),
+            )
+            await read(outcome)
+            assert len(overs) == number + 1
+    assert len(overs) == 2
+
+
+@in_loop
+async def test_a_withheld_request_is_no_exchange_that_could_be_over() -> None:
+    overs: list[None] = []
+    async with serving() as bench:
+        outcome = await bench.pool.send(
+            bench.request(),
+            1.0,
+            withhold,
+            lambda: overs.append(None),
+        )
+        assert isinstance(outcome, NothingSent)
+        await bench.pool.close()
+    assert not overs
+
+
+@in_loop
+async def test_the_time_left_is_counted_from_the_first_byte() -> None:
+    async with scripted(WHOLE) as (port, heads):
+        pool = ConnectionPool.from_limits(PoolLimits())
+        request = OutgoingRequest(
+            HOST,
+            port,
+            'GET',
+            '/',
+            time_left_header='deadline-ms',
+        )
+        await read(await pool.send(request, 1.5))
+        await pool.close()
+    fields = dict(
+        line.split(b': ', 1) for line in heads[0].strip().split(b'\r\n')[1:]
+    )
+    assert 1000 < int(fields[b'deadline-ms']) <= 1500
--- a/tests/cover/testkit/test_links.py
+++ b/tests/cover/testkit/test_links.py
@@ -6,7 +6,12 @@
 
 import pytest
 from jacinthcroft_config import Address
-from jacinthcroft_testkit.internal.links import Direction, LinkTable, Mode
+from jacinthcroft_testkit.internal.links import (
+    Direction,
+    LinkTable,
+    Mode,
+    reset,
+)
 from jacinthcroft_testkit.internal.links import Setting as LinkSetting
 
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
@@ -91,6 +96,36 @@
     _run(scenario)
 
 
+def test_a_cut_swallows_a_reset_like_any_other_end() -> None:
+    met = asyncio.Event()
+    ended = asyncio.Event()
+
+    async def watch(
+        reader: asyncio.StreamReader,
+        _: asyncio.StreamWriter,
+    ) -> None:
+        await reader.readexactly(5)
+        met.set()
+        try:
+            await reader.read()
+        finally:
+            ended.set()
+
+    async def scenario(table: LinkTable, _address: Address) -> None:
+        server = await asyncio.start_server(watch, '127.0.0.1')
+        host, port = server.sockets[0].getsockname()
+        _, writer = await _open(await table.add('vm2>t2', Address(host, port)))
+        writer.write(b'hello')
+        await met.wait()
+        await table.change('vm2>t2', _FORWARD, LinkSetting(Mode.CUT))
+        reset(writer)
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(ended.wait(), 0.2)
+        server.close()
+
+    _run(scenario)
+
+
 def test_a_reset_link_resets_open_and_new_connections() -> None:
     async def scenario(table: LinkTable, address: Address) -> None:
         reader, writer = await _open(address)
--- a/tests/cover/testkit/test_targets.py
+++ b/tests/cover/testkit/test_targets.py
@@ -5,7 +5,13 @@
 from collections.abc import Awaitable, Callable
 
 import pytest
-from jacinthcroft_http import Answer, ConnectionPool, OutgoingRequest, now
+from jacinthcroft_http import (
+    Answer,
+    ConnectionPool,
+    Interrupted,
+    OutgoingRequest,
+    now,
+)
 from jacinthcroft_testkit.internal.answers import AnswerBody
 from jacinthcroft_testkit.internal.control import make_pool
 from jacinthcroft_testkit.internal.history import RunResult
@@ -34,13 +40,21 @@
         address = await self.server.start()
         self._port = int(address.rpartition(':')[2])
 
-    async def call(self, path: str, timeout: float = 5) -> object:
+    async def call(
+        self,
+        path: str,
+        timeout: float = 5,
+        deadline_ms: int = 5000,
+    ) -> object:
         request = OutgoingRequest(
             '127.0.0.1',
             self._port,
             'GET',
             path,
-            [('x-request-id', f'id of {path}')],
+            [
+                ('x-request-id', f'id of {path}'),
+                ('deadline-ms', str(deadline_ms)),
+            ],
         )
         answer = await self._pool.send(request, timeout)
         if not isinstance(answer, Answer):
@@ -111,6 +125,16 @@
     assert [run.result for run in state.runs] == [RunResult.CANCELLED]
 
 
+def test_a_run_ends_at_its_deadline_though_its_caller_stays() -> None:
+    async def scenario(bench: _Bench) -> None:
+        outcome = await bench.call('/p', deadline_ms=100)
+        assert isinstance(outcome, Interrupted)
+        assert outcome.reason == 'reset'
+
+    state = _run(scenario, Faults({Behaviour.STALL: 1}))
+    assert [run.result for run in state.runs] == [RunResult.CANCELLED]
+
+
 def test_a_request_beyond_the_slots_is_shed_and_never_ran() -> None:
     async def scenario(bench: _Bench) -> None:
         await asyncio.gather(*(bench.call(f'/{one}') for one in range(3)))
--- a/tests/cover/traffic/test_cancelled_runs.py
+++ b/tests/cover/traffic/test_cancelled_runs.py
@@ -15,6 +15,8 @@
         (RunOutcome.ANSWERED, True),
         (RunOutcome.STALLED, False),
         (RunOutcome.CANCELLED, False),
+        (RunOutcome.RESET, False),
+        (RunOutcome.CROSSED, False),
     ],
 )
 def test_the_slot_of_a_cancelled_run_stays_taken_for_a_moment(
--- a/tests/slow/test_target_load.py
+++ b/tests/slow/test_target_load.py
@@ -24,6 +24,13 @@
     late_seconds=0.6,
     is_shedding=False,
 )
+# Most runs go on for longer than their callers wait.
+_SLOW = Faults(
+    {Behaviour.LATE: 0.8},
+    late_seconds=0.8,
+    is_shedding=False,
+)
+_CALLER_LEAVES_SECONDS = 0.3
 
 
 def test_slots_hold_when_the_holder_is_killed() -> None:
@@ -46,6 +53,24 @@
     asyncio.run(_under_overload(_LINKED_PLAN, _cut_one_way))
 
 
+def test_slots_hold_when_cancellations_get_lost() -> None:
+    """A target works on for a VM whose connection it believes open."""
+
+    async def _run() -> None:
+        async with scene(_LINKED_PLAN) as running:
+            await running.fleet.targets.set_faults('*', _SLOW)
+            load = running.under_load(
+                _OVERLOAD_RATE,
+                timeout=_CALLER_LEAVES_SECONDS,
+            )
+            async with load:
+                await running.wait_for_runs(50)
+                await _lose_cancellations(running)
+            await _check(running)
+
+    asyncio.run(_run())
+
+
 async def _under_overload(
     plan: ScenePlan,
     fail: Callable[[Scene], Awaitable[None]],
@@ -56,10 +81,15 @@
             await running.wait_for_runs(100)
             await fail(running)
             await running.wait_for_runs(100)
-        runs = await running.runs()
-        full = [run for run in runs if run.concurrency == plan.slots]
-        assert full, 'no target was ever full'
-        assert not await running.overload()
+        await _check(running)
+
+
+async def _check(running: Scene) -> None:
+    runs = await running.runs()
+    slots = running.plan.slots
+    full = [run for run in runs if run.concurrency == slots]
+    assert full, 'no target was ever full'
+    assert not await running.overload()
 
 
 async def _kill_holder(running: Scene) -> None:
@@ -96,3 +126,15 @@
         await running.wait_for_runs(150)
         await links.set(f'{vm}>t*', Setting(Mode.RESET))
         await links.set(f'{vm}>t*', Setting())
+
+
+async def _lose_cancellations(running: Scene) -> None:
+    links = running.fleet.links
+    for _ in range(2):
+        for vm in ('vm1', 'vm2', 'vm3'):
+            cut = Setting(Mode.CUT)
+            await links.set(f'{vm}>t*', cut, (Direction.FORWARD,))
+        await running.wait_for_runs(50)
+        await links.set('vm*>t*', Setting(Mode.RESET))
+        await links.set('vm*>t*', Setting())
+        await running.wait_for_runs(50)
--- a/tests/slow/traffic_support.py
+++ b/tests/slow/traffic_support.py
@@ -42,6 +42,7 @@
 # The longest that any takeover may take: abstention, lease and runs.
 SETTLE_SECONDS = 30.0
 _ENDLESS_SECONDS = 600.0
+_CALLER_TIMEOUT_SECONDS = 4.0
 _WARM = ('healthy', 'suspect')
 
 
@@ -87,6 +88,7 @@
         seconds: float,
         weights: Mapping[str, float] | None = None,
         method: str = 'GET',
+        timeout: float = _CALLER_TIMEOUT_SECONDS,
     ) -> None:
         """Sends requests through all VMs until the last one is settled."""
         self.balancer = Balancer(
@@ -105,7 +107,7 @@
             self.randomness,
             ResendPolicy(sendings=1),
         )
-        loop = OpenLoop(kind(method), rate, seconds)
+        loop = OpenLoop(kind(method, timeout), rate, seconds)
         await run_open(caller, [loop], self.randomness)
 
     @asynccontextmanager
@@ -113,10 +115,16 @@
         self,
         rate: float,
         method: str = 'GET',
+        timeout: float = _CALLER_TIMEOUT_SECONDS,
     ) -> AsyncIterator[None]:
         """Sends requests through all VMs until the block ends."""
         loading = asyncio.create_task(
-            self.load(rate, _ENDLESS_SECONDS, method=method),
+            self.load(
+                rate,
+                _ENDLESS_SECONDS,
+                method=method,
+                timeout=timeout,
+            ),
         )
         try:
             yield
@@ -217,7 +225,10 @@
         await pool.close()
 
 
-def kind(method: str = 'GET') -> RequestKind:
+def kind(
+    method: str = 'GET',
+    timeout: float = _CALLER_TIMEOUT_SECONDS,
+) -> RequestKind:
     """Returns the team's reads, or its orders, which run at most once."""
     is_read = method == 'GET'
     return RequestKind(
@@ -228,7 +239,7 @@
         f'/{SERVICE}/items/i{{n}}' if is_read else f'/{SERVICE}/orders',
         is_idempotent=is_read,
         body=None if is_read else b'{}',
-        timeout=4,
+        timeout=timeout,
     )
 
 
