Tell peers the newest VM list also after learning earlier ones

Cause: a VM kept its lists in the order in which it learned them and told peers the last one as the newest. A VM that had adopted revision 5 and then learned 3 and 4 from a peer's history offered 3 in place of 5. Ruled out: nothing; found by reading. The coordinator orders by revision. Change: ListHistory keeps the lists in order of revision, each with its placement, so that a new configuration no longer parses every remembered list again. A history that cannot be read is not kept.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/app.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/app.py
@@ -17,7 +17,7 @@
     now,
 )
 
-from jacinthcroft_daemon.internal.fleet.spread import Spread, placements_of
+from jacinthcroft_daemon.internal.fleet.spread import Spread
 from jacinthcroft_daemon.internal.fleet.view import FleetView
 from jacinthcroft_daemon.internal.operators import OperatorPort
 from jacinthcroft_daemon.internal.peers import PeerClient, PeerRouter, Signer
@@ -250,7 +250,7 @@
         )
 
     def _on_change(self) -> None:
-        self._coordination.adopt(placements_of(self._view))
+        self._coordination.adopt(self._view.lists.placements)
         self._cells.adopt()
 
 
--- a/packages/daemon/src/jacinthcroft_daemon/internal/fleet/bundles.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/fleet/bundles.py
@@ -21,7 +21,7 @@
     load_service,
 )
 
-from jacinthcroft_daemon.internal.fleet.view import PublishedText
+from jacinthcroft_daemon.internal.fleet.list_history import PublishedText
 
 
 @dataclass(frozen=True)
--- a/packages/daemon/src/jacinthcroft_daemon/internal/fleet/messages.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/fleet/messages.py
@@ -3,7 +3,7 @@
 from attrs import frozen
 from jacinthcroft_decisions.coordination import HeardFrom
 
-from jacinthcroft_daemon.internal.fleet.view import PublishedText
+from jacinthcroft_daemon.internal.fleet.list_history import PublishedText
 
 
 @frozen
--- a/packages/daemon/src/jacinthcroft_daemon/internal/fleet/spread.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/fleet/spread.py
@@ -14,7 +14,6 @@
 from typing import Final
 
 from jacinthcroft_config import Faults, Tunables, VmList, load_vm_list
-from jacinthcroft_decisions.coordination import Placement
 from jacinthcroft_http import now
 
 from jacinthcroft_daemon.internal.fleet.bundles import (
@@ -22,13 +21,14 @@
     PartStore,
     UnusableBundle,
 )
+from jacinthcroft_daemon.internal.fleet.list_history import PublishedText
 from jacinthcroft_daemon.internal.fleet.messages import (
     NewsQuestion,
     NewsReply,
     PartsQuestion,
     PartsReply,
 )
-from jacinthcroft_daemon.internal.fleet.view import FleetView, PublishedText
+from jacinthcroft_daemon.internal.fleet.view import FleetView
 from jacinthcroft_daemon.internal.peers import (
     PeerClient,
     PeerRouter,
@@ -248,10 +248,10 @@
         return published
 
     def _remember(self, history: tuple[PublishedText, ...]) -> bool:
-        known = len(self._view.list_history)
+        known = len(self._view.lists.published)
         for published in history:
-            self._view.remember_list(published)
-        return len(self._view.list_history) > known
+            self._view.lists.learn(published)
+        return len(self._view.lists.published) > known
 
     async def _adopt_bundle(
         self,
@@ -315,15 +315,15 @@
         question: NewsQuestion,
     ) -> NewsReply:
         view = self._view
-        vm_list = view.list_history[-1] if view.list_history else None
+        lists = view.lists.published
         has_newer_list = view.vm_list.revision > question.list_revision
         has_newer_bundle = (
             self._bundle.revision > question.configuration_revision
         )
         return NewsReply(
-            vm_list=vm_list if has_newer_list else None,
+            vm_list=lists[-1] if has_newer_list else None,
             bundle=self._bundle if has_newer_bundle else None,
-            history=view.list_history if question.wants_history else (),
+            history=lists if question.wants_history else (),
             heard=view.freshness.ages(now()),
         )
 
@@ -333,13 +333,3 @@
         question: PartsQuestion,
     ) -> PartsReply:
         return PartsReply(self._parts.texts(question.digests))
-
-
-def placements_of(view: FleetView) -> tuple[Placement, ...]:
-    """Returns the placements of all known earlier lists, oldest first."""
-    placements: list[Placement] = []
-    for published in view.list_history:
-        vm_list = load_vm_list(published.text, published.revision, 'vms')
-        if not isinstance(vm_list, Faults):
-            placements.append(Placement.from_vm_list(vm_list, view.terms))
-    return tuple(placements)
--- a/packages/daemon/src/jacinthcroft_daemon/internal/fleet/view.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/fleet/view.py
@@ -5,10 +5,6 @@
 starts empty and learns it again from the platform and its peers.
 """
 
-from collections import OrderedDict
-from typing import Final
-
-from attrs import frozen
 from jacinthcroft_config import (
     Address,
     Configuration,
@@ -24,17 +20,10 @@
     Placement,
 )
 
-# Enough earlier lists to fence across every change of an hour at today's
-# sizes; a list older than that outlived every lease and claim it governed.
-_KEPT_LISTS: Final = 32
-
-
-@frozen
-class PublishedText:
-    """A value as published, so that peers can pass it on unchanged."""
-
-    revision: int
-    text: str
+from jacinthcroft_daemon.internal.fleet.list_history import (
+    ListHistory,
+    PublishedText,
+)
 
 
 class FleetView:
@@ -58,7 +47,7 @@
         self._teams = TeamIndex.from_configuration(self._configuration)
         self._services: dict[str, Service] = {}
         self._addresses: dict[str, Address] = {}
-        self._lists: OrderedDict[int, PublishedText] = OrderedDict()
+        self._lists = ListHistory(terms)
         self._configured_at = started_at
         self._freshness = Freshness(vm, terms)
 
@@ -120,9 +109,9 @@
         return self._freshness
 
     @property
-    def list_history(self) -> tuple[PublishedText, ...]:
-        """The accepted VM lists as published, oldest first."""
-        return tuple(self._lists.values())
+    def lists(self) -> ListHistory:
+        """The accepted VM lists, this one and earlier ones."""
+        return self._lists
 
     @property
     def other_vms(self) -> tuple[str, ...]:
@@ -148,18 +137,12 @@
             return False
         self._vm_list = vm_list
         self._placement = Placement.from_vm_list(vm_list, self._terms)
-        self.remember_list(PublishedText(vm_list.revision, text))
+        self._lists.add(PublishedText(vm_list.revision, text), self._placement)
         # Earlier addresses stay: a VM that left the list may still have to
         # be fenced as a witness of an earlier list.
         self._addresses.update({vm.name: vm.peers for vm in vm_list.vms})
         return True
 
-    def remember_list(self, published: PublishedText) -> None:
-        """Keeps an accepted or earlier list for peers that need it."""
-        self._lists[published.revision] = published
-        for revision in sorted(self._lists)[:-_KEPT_LISTS]:
-            self._lists.pop(revision)
-
     def adopt_configuration(
         self,
         configuration: Configuration,
--- a/tests/cover/fleet/test_news.py
+++ b/tests/cover/fleet/test_news.py
@@ -6,9 +6,10 @@
 from typing import Any
 
 from jacinthcroft_config import Tunables, VmList, hash_key, load_vm_list
+from jacinthcroft_daemon.internal.fleet.list_history import PublishedText
 from jacinthcroft_daemon.internal.fleet.messages import NewsReply, PartsReply
 from jacinthcroft_daemon.internal.fleet.spread import Spread
-from jacinthcroft_daemon.internal.fleet.view import FleetView, PublishedText
+from jacinthcroft_daemon.internal.fleet.view import FleetView
 from jacinthcroft_daemon.internal.peers import PeerClient, Signer
 from jacinthcroft_daemon.internal.platform import NoNewer, PlatformValue
 from jacinthcroft_decisions.coordination import CoordinationTerms
