Read draining targets' signs by a probe when a holder takes over

Cause: the drain sign lives in the holder's memory. A successor of a killed holder knew nothing and gave the target work to learn it, a planned handover did not carry it, and after 30 s the holder forgot it. The test named "the holder that heard of it is killed" killed nobody. Ruled out: waiting for the sign to come with the VMs' asks (the VM that heard it may be the one that died). The test kills the holder once the grace is over.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/held_cells.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/held_cells.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 import random
 from collections.abc import Iterable
 from dataclasses import asdict
@@ -33,7 +34,7 @@
 from jacinthcroft_daemon.internal.sharing.coordination import (
     CoordinationService,
 )
-from jacinthcroft_daemon.internal.sharing.probes import Prober
+from jacinthcroft_daemon.internal.sharing.probes import ProbeAnswer, Prober
 from jacinthcroft_daemon.internal.telemetry import Count, Metrics, log_event
 
 ASK_KIND: Final = 'permit'
@@ -248,9 +249,14 @@
         if held is None:
             return
         held.cell.tick(now())
-        wanted = held.cell.probe_wanted(now())
-        if wanted is not None:
-            self._prober.start(held.service, wanted, held.cell)
+        cell = held.cell
+        tried = cell.probe_wanted(now())
+        if tried is not None:
+            note_trial = functools.partial(_note_trial, cell, tried)
+            self._prober.start(held.service, tried, note_trial)
+        for checked in cell.sign_checks_wanted(now()):
+            note_signs = functools.partial(_note_signs, cell, checked)
+            self._prober.start(held.service, checked, note_signs)
         self._pump(name, held)
 
     def _tell(self, cell: str, event: CellEvent) -> None:
@@ -330,3 +336,12 @@
     def _lease_until(self, name: str) -> float:
         shard = self._view.placement.shard_of(f'cell:{name}')
         return self._coordination.coordinator.lease_until(shard)
+
+
+def _note_signs(cell: Cell, target: str, answer: ProbeAnswer) -> None:
+    cell.note_signs(target, answer.boot_id, answer.is_draining, now())
+
+
+def _note_trial(cell: Cell, target: str, answer: ProbeAnswer) -> None:
+    _note_signs(cell, target, answer)
+    cell.probe_result(target, answer.is_ok, answer.latency, now())
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/probes.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/probes.py
@@ -1,14 +1,15 @@
 """Probes a target's health endpoint on behalf of its cell's holder.
 
 A probe costs a target a tenth of a slot-second or more, so only the holder
-probes, one target at a time, and only when the cell asks for it.
+probes, and only when the cell asks for it.
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import Final
 
-from jacinthcroft_config import Service
-from jacinthcroft_decisions.traffic import Cell
+from attrs import frozen
+from jacinthcroft_config import Service, Target
 from jacinthcroft_http import (
     Answer,
     ConnectionPool,
@@ -22,6 +23,19 @@
 _OK: Final = 200
 
 
+@frozen
+class ProbeAnswer:
+    """What a probe found; `latency` is in seconds.
+
+    The signs are those of the target's process, as with any answer of it.
+    """
+
+    is_ok: bool
+    latency: float
+    boot_id: str | None = None
+    is_draining: bool = False
+
+
 class Prober:
     """Runs probes in the background."""
 
@@ -30,22 +44,26 @@
         self._pool = pool
         self._running: set[asyncio.Task[None]] = set()
 
-    def start(self, service: Service, target_name: str, cell: Cell) -> None:
-        """Starts one probe; the cell hears of its result."""
-        probe = asyncio.create_task(self._probe(service, target_name, cell))
-        self._running.add(probe)
-        probe.add_done_callback(self._running.discard)
-
-    async def _probe(
+    def start(
         self,
         service: Service,
         target_name: str,
-        cell: Cell,
+        on_answer: Callable[[ProbeAnswer], None],
     ) -> None:
+        """Starts one probe and tells its result, if the target is listed."""
         named = (one for one in service.targets if one.name == target_name)
         target = next(named, None)
         if target is None:
             return
+        probe = asyncio.create_task(self._probe(target, on_answer))
+        self._running.add(probe)
+        probe.add_done_callback(self._running.discard)
+
+    async def _probe(
+        self,
+        target: Target,
+        on_answer: Callable[[ProbeAnswer], None],
+    ) -> None:
         started_at = now()
         request = OutgoingRequest(
             host=target.address.host,
@@ -56,8 +74,16 @@
             body=None,
         )
         outcome = await self._pool.send(request, _PROBE_TIMEOUT_SECONDS)
-        is_ok = False
-        if isinstance(outcome, Answer):
-            body = await outcome.read(_PROBE_ANSWER_BYTES)
-            is_ok = outcome.status == _OK and isinstance(body, bytes)
-        cell.probe_result(target_name, is_ok, now() - started_at, now())
+        if not isinstance(outcome, Answer):
+            on_answer(ProbeAnswer(is_ok=False, latency=now() - started_at))
+            return
+        body = await outcome.read(_PROBE_ANSWER_BYTES)
+        is_whole = isinstance(body, bytes)
+        on_answer(
+            ProbeAnswer(
+                is_ok=outcome.status == _OK and is_whole,
+                latency=now() - started_at,
+                boot_id=outcome.headers.get('x-boot-id'),
+                is_draining=outcome.headers.get('x-draining') == '1',
+            ),
+        )
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell.py
@@ -12,7 +12,7 @@
 for the first time are treated as cold.
 """
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from random import Random
 from typing import Self
 
@@ -38,6 +38,7 @@
     PROBE_LEAD_SECONDS,
     ProbePlan,
 )
+from jacinthcroft_decisions.internal.traffic.sign_checks import SignChecks
 from jacinthcroft_decisions.internal.traffic.target_choice import TargetChoice
 from jacinthcroft_decisions.internal.traffic.target_pool import TargetPool
 
@@ -64,6 +65,7 @@
         pool: TargetPool,
         issuer: PermitIssuer,
         choice: TargetChoice,
+        unknown: Iterable[str],
     ) -> None:
         """Joins the parts; use `from_config`."""
         self._pool = pool
@@ -71,6 +73,7 @@
         self._choice = choice
         self._queue = AskQueue()
         self._probes = ProbePlan()
+        self._sign_checks = SignChecks(unknown)
 
     @classmethod
     def from_config(
@@ -88,7 +91,8 @@
         issuer = PermitIssuer(service, held_since, incarnation, pool)
         if handover is not None:
             issuer.take_over(handover, held_since)
-        return cls(pool, issuer, TargetChoice(pool, random))
+        unknown = pool.targets if handover is None else ()
+        return cls(pool, issuer, TargetChoice(pool, random), unknown)
 
     def health_view(self, now: float) -> tuple[TargetView, ...]:
         """Returns every listed target as the cell sees it."""
@@ -146,7 +150,12 @@
         known = self._pool.targets.get(report.target)
         if known is None:
             return None
-        self._pool.note_signs(report, now)
+        self._pool.note_signs(
+            report.target,
+            report.boot_id,
+            report.is_draining,
+            now,
+        )
         use = known.slots.use_of(report.permit_id)
         if use is None:
             return None
@@ -176,6 +185,25 @@
         due = self._pool.health.due_trials(soon)
         return self._probes.next_target(due, now)
 
+    def sign_checks_wanted(self, now: float) -> tuple[str, ...]:
+        """Returns the targets whose signs should be read by a probe.
+
+        A new holder's first checks fall into the time in which it may not
+        grant yet.
+        """
+        return self._sign_checks.due(self._pool.draining(now), now)
+
+    def note_signs(
+        self,
+        target: str,
+        boot_id: str | None,
+        is_draining: bool,
+        now: float,
+    ) -> None:
+        """Takes in what a probe's answer says of the target's process."""
+        if target in self._pool.targets:
+            self._pool.note_signs(target, boot_id, is_draining, now)
+
     def probe_result(
         self,
         target: str,
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell_target.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell_target.py
@@ -65,6 +65,7 @@
             is_warm=not self.ramp.is_cold,
             boot_ids=self._boot_ids,
             held=self.slots.held(now),
+            is_draining=self.is_draining(now),
         )
 
     def take_over(self, handover: TargetHandover, now: float) -> None:
@@ -72,6 +73,8 @@
         self._boot_ids = handover.boot_ids
         if handover.is_warm:
             self.ramp.set_warm()
+        if handover.is_draining:
+            self.note_drain(now)
         for held in handover.held:
             use = PermitUse(held.vm, held.zone, now)
             self.slots.hold(held.permit_id, use, now + held.free_in)
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/permit_messages.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/permit_messages.py
@@ -114,6 +114,7 @@
     is_warm: bool
     boot_ids: tuple[str, ...]
     held: tuple[HeldSlot, ...]
+    is_draining: bool = False
 
 
 @frozen
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/target_pool.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/target_pool.py
@@ -69,6 +69,14 @@
             return min(1, allowed)
         return allowed if health.standing is Standing.IN_USE else 0
 
+    def draining(self, now: float) -> tuple[str, ...]:
+        """Returns the targets that asked for no new work."""
+        return tuple(
+            name
+            for name, known in self.targets.items()
+            if known.is_draining(now)
+        )
+
     def is_roomy(self, now: float) -> bool:
         """Whether at most half of the slots in use are taken."""
         running = sum(known.slots.running for known in self.targets.values())
@@ -106,13 +114,19 @@
                 known.reconfigure(target, service.limits)
         self._sync_health(now)
 
-    def note_signs(self, report: PermitReport, now: float) -> None:
+    def note_signs(
+        self,
+        name: str,
+        boot_id: str | None,
+        is_draining: bool,
+        now: float,
+    ) -> None:
         """Takes in what an answer says of the target's process."""
-        known = self.targets[report.target]
-        if report.boot_id is not None and known.note_boot_id(report.boot_id):
+        known = self.targets[name]
+        if boot_id is not None and known.note_boot_id(boot_id):
             known.turn_cold()
-            self._tell(ColdStartNoticed(report.target, 'restart', now))
-        if report.is_draining and known.is_current(report.boot_id):
+            self._tell(ColdStartNoticed(name, 'restart', now))
+        if is_draining and known.is_current(boot_id):
             known.note_drain(now)
             self._sync_health(now)
 
--- /dev/null
+++ b/tests/cover/traffic/test_drain_signs.py
@@ -0,0 +1,71 @@
+"""A holder hears of a draining target without giving it work."""
+
+from random import Random
+
+from jacinthcroft_decisions.internal.traffic.cell_target import (
+    DRAIN_MEMORY_SECONDS,
+)
+from jacinthcroft_decisions.internal.traffic.sign_checks import (
+    SIGN_CHECK_SECONDS,
+)
+from jacinthcroft_decisions.traffic import Cell, TargetCondition
+
+from tests.cover.traffic.builders import OPEN_FROM, make_ask, make_service
+
+
+def _new_holder() -> Cell:
+    return Cell.from_config(make_service(targets=1), 0, 'inc', Random(1))
+
+
+def _may_grant(cell: Cell, now: float) -> bool:
+    cell.tick(now)
+    cell.ask(make_ask(), now)
+    return bool(cell.grants(now, now + 3))
+
+
+def test_a_new_holder_reads_every_targets_signs_once_before_it_grants() -> None:
+    cell = _new_holder()
+    assert cell.sign_checks_wanted(0) == ('t0',)
+    cell.note_signs('t0', 'boot', is_draining=True, now=OPEN_FROM / 2)
+    assert cell.sign_checks_wanted(OPEN_FROM / 2) == ()
+    assert not _may_grant(cell, OPEN_FROM)
+
+
+def test_a_target_that_goes_on_draining_gets_nothing_however_long() -> None:
+    cell = _new_holder()
+    cell.sign_checks_wanted(0)
+    cell.note_signs('t0', 'boot', is_draining=True, now=0)
+    now = 0.0
+    while now < 3 * DRAIN_MEMORY_SECONDS:
+        now += 1
+        for target in cell.sign_checks_wanted(now):
+            cell.note_signs(target, 'boot', is_draining=True, now=now)
+        assert not _may_grant(cell, now)
+
+
+def test_a_check_that_brings_no_sign_leaves_the_memory_to_end() -> None:
+    cell = _new_holder()
+    cell.note_signs('t0', 'boot', is_draining=True, now=OPEN_FROM)
+    later = OPEN_FROM + SIGN_CHECK_SECONDS
+    cell.note_signs('t0', 'boot', is_draining=False, now=later)
+    assert not _may_grant(cell, later)
+    assert _may_grant(cell, OPEN_FROM + DRAIN_MEMORY_SECONDS)
+
+
+def test_a_planned_handover_tells_the_drain_sign() -> None:
+    old = _new_holder()
+    old.note_signs('t0', 'boot', is_draining=True, now=OPEN_FROM)
+    new = Cell.from_config(
+        make_service(targets=1),
+        OPEN_FROM,
+        'next',
+        Random(2),
+        handover=old.hand_over(OPEN_FROM),
+    )
+    condition = new.health_view(OPEN_FROM)[0].state
+    assert condition is TargetCondition.LEAVING
+    assert not _may_grant(new, OPEN_FROM)
+
+
+def test_a_sign_of_a_target_that_is_not_listed_is_ignored() -> None:
+    _new_holder().note_signs('t9', 'boot', is_draining=True, now=0)
--- a/tests/slow/test_leaving_targets.py
+++ b/tests/slow/test_leaving_targets.py
@@ -57,6 +57,10 @@
                 await running.fleet.targets.set_faults(_LEAVING, draining)
                 said_at = now()
                 await _outlive_grace(running, said_at)
+                holder = await running.holder()
+                await running.fleet.vms.kill(holder)
+                await running.holder(other_than=(holder,))
+                await running.wait_for_runs(2 * _RATE)
             await _check(running, {_LEAVING}, said_at)
 
     asyncio.run(_run())
