Put a new list in force with the bare majority that a split leaves

Cause: a witness younger than 10 min installs a new list only when it has read that very list back from 3 of the 4 others. With 2 of 5 cut off only 2 others answer, so no shard had a holder from the end of the old leases on: 64 read-backs open, `installed` at the old revision, for the whole split. Ruled out by traces: lost renewals, turns of cut candidates, asks that wait for cut holders, fences that wait for cut witnesses, a split limit. Change: a witness that was installed for a list which it had surely read back counts as whole for later ones; a list in force has fenced a majority of the one before it, so the read-back would have shown a trace. That needs the fences of several earlier lists gathered at the same time, so a driver asks them all anew when their rounds lie further apart than the claim timeout. Left: shards whose bare majority has a VM that is a new witness still wait, see DESIGN.

--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/__init__.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/__init__.py
@@ -16,8 +16,10 @@
   predecessor died half-way, thus finds every list that may be in force.
 * Forgotten fences. A restarted witness has forgotten what it was fenced for.
   It takes part in a list only once its memory is whole for that very list,
-  also a list that it has never met; fences count only when a majority of
-  them came within the claim timeout.
+  also a list that it has never met, or surely whole for an earlier one that
+  it was installed for and that was not stale by then; fences count only when
+  a majority of them came within the claim timeout, and those of several lists
+  only when their rounds began within it.
 * Forgotten records. Each witness knows the key time above which it can't
   have forgotten a claim. Drivers and restarted witnesses combine these times
   as they combine records, so lost memory makes keys unknown, never free.
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/activation.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/activation.py
@@ -5,6 +5,11 @@
 Every step may be repeated, by this candidate or by another one at the same
 time: a fence at the same revision changes nothing, and an installed witness
 ignores a second installation.
+
+The rounds of all earlier lists begin within one claim timeout, or are asked
+anew at the same time. So when a witness that was fenced in one of them and
+has restarted ends its abstention, the other rounds have left their fences
+too, or the whole attempt has failed.
 """
 
 from attrs import define, field
@@ -70,6 +75,14 @@
     def _witnesses(self) -> tuple[str, ...]:
         return self.placement.witnesses(self.shard)
 
+    @property
+    def _is_gathered_at_once(self) -> bool:
+        """Whether all rounds began within one claim timeout."""
+        starts = [known.started_at for known in self._rounds.values()]
+        if not starts:
+            return True
+        return max(starts) - min(starts) <= self.terms.claim_timeout
+
     def requests(
         self,
         history: PlacementHistory,
@@ -89,6 +102,8 @@
         self.needs_history = isinstance(result, NoneInstalled)
         if isinstance(result, FencesNeeded):
             return self._fences(result.earlier, now)
+        if not self._is_gathered_at_once:
+            return self._gather_again(now)
         if self.needs_history and not is_history_complete:
             return ()
         return self._last_steps(result, now)
@@ -156,6 +171,14 @@
             self._rounds[earlier.revision] = fence_round
         return fence_round.requests(now)
 
+    def _gather_again(self, now: float) -> tuple[Outgoing, ...]:
+        """Asks the witnesses of all earlier lists anew, at the same time."""
+        return tuple(
+            outgoing
+            for fence_round in self._rounds.values()
+            for outgoing in fence_round.begin(now)
+        )
+
     def _last_steps(
         self,
         found: NoneInstalled | PredecessorFound,
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/fence_round.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/fence_round.py
@@ -43,6 +43,11 @@
         """What the fenced witnesses knew."""
         return tuple(self._views.values())
 
+    @property
+    def started_at(self) -> float:
+        """When the witnesses were asked last."""
+        return self._started_at
+
     @property
     def is_complete(self) -> bool:
         """Whether a majority was fenced within one round."""
@@ -62,6 +67,11 @@
         is_running = now - self._started_at <= self.terms.claim_timeout
         if self.is_complete or is_running:
             return ()
+        return self.begin(now)
+
+    def begin(self, now: float) -> tuple[Outgoing, ...]:
+        """Starts a new round, whatever the last one brought."""
+        self._is_complete = False
         self._started_at = now
         self._views.clear()
         return self.repeat(self.earlier.vms)
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/recovery.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/recovery.py
@@ -11,6 +11,14 @@
 when all others have answered, or when the wait for a better answer has gone
 on for a whole abstention: a fleet that starts has no memory anywhere.
 
+A list that comes later needs no read-back of its own where the first one
+proves that it can't have counted before. Each list that was put in force has
+fenced a majority of every list in force before it. So when the read-back
+finds no later list, and its own list is one that witnesses were installed
+for, no later list had got that far with the earlier incarnation's votes. A
+majority that is left over from a split can thus put a new list in force,
+although too few others are left to read anything back from.
+
 Limit: when several of a shard's witnesses lose their memory at once, a fence
 that only they held is lost. What remains is the list: a witness refuses all
 revisions below the one that it first adopted, so it must ask its peers for
@@ -61,6 +69,16 @@
             view for view in self.views if view.installed == self.revision
         )
 
+    @property
+    def is_sure(self) -> bool:
+        """Whether the answers show all that counts, without a wait's end."""
+        is_from_all = len(self._views) == len(self._others)
+        return is_from_all or len(self._whole_views) >= self._needed
+
+    @property
+    def _whole_views(self) -> list[ShardView]:
+        return [view for view in self.views if view.is_whole_for(self.revision)]
+
     @property
     def _others(self) -> tuple[str, ...]:
         return tuple(vm for vm in self.witnesses if vm != self.vm)
@@ -73,12 +91,7 @@
 
     def is_complete(self, now: float) -> bool:
         """Whether enough others have answered."""
-        if len(self._views) == len(self._others):
-            return True
-        whole = [
-            view for view in self.views if view.is_whole_for(self.revision)
-        ]
-        if len(whole) >= self._needed:
+        if self.is_sure:
             return True
         return self._is_worn(now) and len(self._views) >= self._needed
 
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/shard_memory.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/shard_memory.py
@@ -4,8 +4,14 @@
 too merges what it is handed with what it has. `start_wall` bounds what an
 earlier incarnation may have known: any key whose own time is later can't
 have been claimed here before this incarnation started.
+
+`surely_whole_at` names the lists whose read-back lacks nobody's answer that
+counts. Once installed for one of them, the witness knows that its earlier
+incarnation took no part in any later list: `recovery` tells why.
 """
 
+import math
+
 from attrs import define, field
 
 from jacinthcroft_decisions.internal.coordination.leases import WitnessedLease
@@ -30,6 +36,8 @@
     fences: dict[int, WitnessSet] = field(factory=dict)
     installed: int = 0
     whole_at: set[int] = field(factory=set)
+    surely_whole_at: set[int] = field(factory=set)
+    _whole_above: float = field(default=math.inf, init=False)
     lease: WitnessedLease = field(factory=WitnessedLease)
     records: dict[str, ClaimRecord] = field(factory=dict)
 
@@ -62,6 +70,10 @@
         """Whether the shard is fenced above the revision."""
         return revision < self.newest
 
+    def is_whole_for(self, revision: int) -> bool:
+        """Whether no vote under the revision can have been forgotten."""
+        return revision in self.whole_at or revision > self._whole_above
+
     def fence(self, witnesses: WitnessSet) -> None:
         """Refuses every lower revision from now on.
 
@@ -70,10 +82,14 @@
         """
         self.fences[witnesses.revision] = witnesses
 
-    def note_whole(self, revision: int, limit: int) -> None:
+    def note_whole(self, revision: int, is_sure: bool, limit: int) -> None:
         """Notes that nothing is lost of a list; keeps the newest ones."""
-        self.whole_at.add(revision)
-        self.whole_at = set(sorted(self.whole_at)[-limit:])
+        self.whole_at = _newest({*self.whole_at, revision}, limit)
+        if is_sure:
+            self.surely_whole_at = _newest(
+                {*self.surely_whole_at, revision},
+                limit,
+            )
 
     def install(self, request: InstallRequest, vouch_from: float) -> None:
         """Starts to answer for a revision with what its driver gathered."""
@@ -99,6 +115,9 @@
         merged = merge_records((self.records.values(), records))
         self.records = {record.key: record for record in merged}
         self.installed = witnesses.revision
+        if self.installed in self.surely_whole_at:
+            # The list was not stale a moment ago: no later one is known.
+            self._whole_above = min(self._whole_above, self.installed)
         self.vouch_from = vouch_from
         self.fence(witnesses)
         self.fences = {
@@ -106,3 +125,7 @@
             for revision, fence in self.fences.items()
             if revision >= self.installed
         }
+
+
+def _newest(revisions: set[int], limit: int) -> set[int]:
+    return set(sorted(revisions)[-limit:])
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness.py
@@ -144,6 +144,11 @@
         for view in read_back.views:
             for fence in view.fences:
                 memory.fence(fence)
+        memory.note_whole(
+            read_back.revision,
+            read_back.is_sure,
+            state.terms.history_limit,
+        )
         views = read_back.installed_views
         is_served = memory.installed >= read_back.revision
         if views and not is_served and not memory.is_stale(read_back.revision):
@@ -151,7 +156,6 @@
             witnesses = WitnessSet(read_back.revision, read_back.witnesses)
             memory.restore(witnesses, vouch_from, views)
             memory.lease.block(now + state.terms.abstention)
-        memory.note_whole(read_back.revision, state.terms.history_limit)
         state.read_backs.pop((read_back.shard, read_back.revision))
 
     def _drop_old_read_backs(self) -> None:
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness_state.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness_state.py
@@ -61,7 +61,7 @@
         """Whether no vote under the revision can have been forgotten."""
         if self.is_long_up(now):
             return True
-        return revision in self.memory(shard).whole_at
+        return self.memory(shard).is_whole_for(revision)
 
     def view(self, shard: int, now: float) -> ShardView:
         """Returns what others may know of a shard."""
--- a/tests/cover/coordination/broken_variants.py
+++ b/tests/cover/coordination/broken_variants.py
@@ -13,6 +13,7 @@
     CoordinationTerms,
     Coordinator,
     FenceRequest,
+    Outgoing,
     Witness,
 )
 
@@ -73,6 +74,19 @@
     )
 
 
+class LeisurelyCoordinator(Coordinator):
+    """Counts the fences of an earlier round as though they were new."""
+
+    def tick(self, now: float) -> tuple[Outgoing, ...]:
+        for candidacy in self._candidacies.values():
+            activation = candidacy._activation
+            rounds = activation._rounds if activation else {}
+            for fence_round in rounds.values():
+                if fence_round.is_complete:
+                    fence_round._started_at = now
+        return super().tick(now)
+
+
 class MinorityCoordinator(Coordinator):
     """Holds a shard by the vote of any one witness."""
 
@@ -98,6 +112,7 @@
 BROKEN = {
     'no fence': Variant(witness=UnfencedWitness),
     'no abstention': Variant(witness=make_unabstaining),
+    'no common round': Variant(coordinator=LeisurelyCoordinator),
     'no vouching': Variant(witness=make_overconfident),
     'no lease majority': Variant(coordinator=MinorityCoordinator),
     'no claim majority': Variant(claim=MinorityClaim.start),
--- a/tests/cover/coordination/shard_scenarios.py
+++ b/tests/cover/coordination/shard_scenarios.py
@@ -3,10 +3,14 @@
 import random
 from collections.abc import Iterable
 
+from jacinthcroft_decisions.coordination import Placement
+
 from tests.cover.coordination.shard_simulation import (
+    TERMS,
     Faults,
     Simulation,
     Variant,
+    make_list,
     new_fleet,
 )
 
@@ -39,6 +43,15 @@
             simulation.blocked |= {(name, other), (other, name)}
 
 
+def part(simulation: Simulation, *groups: Iterable[str]) -> None:
+    """Cuts the VMs of each group off from all that are not in it."""
+    simulation.blocked.clear()
+    for group in map(set, groups):
+        for name in group:
+            for other in set(simulation.processes) - group:
+                simulation.blocked |= {(name, other), (other, name)}
+
+
 def forget_claims(variant: Variant) -> Simulation:
     """Most witnesses of a run key restart, and the key is sent again."""
     simulation = settled_fleet(variant)
@@ -73,3 +86,58 @@
         simulation.claim(name, key)
     simulation.advance(2)
     return simulation
+
+
+def forget_a_fence(variant: Variant) -> Simulation:
+    """A driver is stuck half-way, and a witness forgets what it had told it.
+
+    List 4's driver has fenced list 3, which was not in force then, and can't
+    reach list 2. List 3 comes in force by the vote of a witness that has
+    restarted since; afterwards list 4's driver reaches list 2.
+    """
+    simulation = settled_fleet(variant)
+    old = set(simulation.published[1].members)
+    shared = _publish_list_3(simulation)
+    near = _near_side(simulation.published[2], shared)
+    far = set(simulation.published[2].members) - near
+    simulation.publish(tuple(sorted(far)))
+    for name in sorted(far | near - {shared}):
+        simulation.start(name, 3)
+        simulation.adopt(name, 2)
+    part(simulation, old - {shared})
+    simulation.advance(12)
+    part(simulation, old - {shared}, near - {shared})
+    for name in far:
+        simulation.adopt(name, 4)
+    simulation.advance(2)
+    simulation.start(shared, 2)
+    part(simulation, old, near - {shared})
+    simulation.advance(6)
+    part(simulation, old | near)
+    simulation.advance(12)
+    first = simulation.published[2].candidates(0)[0]
+    simulation.claim(first, simulation.new_key(age=0))
+    simulation.advance(2)
+    part(simulation, near)
+    simulation.advance(12)
+    return simulation
+
+
+def _publish_list_3(simulation: Simulation) -> str:
+    """Replaces all VMs but one; returns that one, a witness as before."""
+    new = tuple(f'vm{number}' for number in range(7, 14))
+    for name in simulation.published[1].witnesses(0):
+        placement = Placement.from_vm_list(make_list(3, (name, *new)), TERMS)
+        if name in placement.witnesses(0):
+            simulation.publish((name, *new))
+            return name
+    raise AssertionError('no witness of both lists')
+
+
+def _near_side(placement: Placement, shared: str) -> set[str]:
+    """Returns the first candidate and a majority of witnesses with one VM."""
+    near = {shared, placement.candidates(0)[0]}
+    for witness in placement.witnesses(0):
+        if len(near.intersection(placement.witnesses(0))) < 3:
+            near.add(witness)
+    return near
--- a/tests/cover/coordination/test_coordination_safety.py
+++ b/tests/cover/coordination/test_coordination_safety.py
@@ -3,6 +3,7 @@
 The simulation raises `Violation` by itself; a test passes when it doesn't.
 """
 
+import itertools
 import random
 
 import pytest
@@ -15,7 +16,9 @@
 from tests.cover.coordination.shard_scenarios import (
     CALM,
     AlwaysRun,
+    forget_a_fence,
     forget_claims,
+    isolate,
     replace_fleet,
     settled_fleet,
 )
@@ -26,9 +29,12 @@
     new_fleet,
 )
 
+NAMES = tuple(f'vm{number}' for number in range(6))
+PAIRS = tuple(itertools.combinations(NAMES, 2))
 SCRIPTS = {
     'no fence': replace_fleet,
     'no abstention': forget_claims,
+    'no common round': forget_a_fence,
     'no vouching': forget_claims,
 }
 
@@ -101,6 +107,33 @@
     assert simulation.holders() == [simulation.published[2].candidates(0)[0]]
 
 
+@pytest.mark.parametrize('cut_off', PAIRS)
+def test_a_bare_majority_puts_a_new_list_in_force(
+    cut_off: tuple[str, str],
+) -> None:
+    """Two of five VMs are cut off: too few are left to read back from.
+
+    The list that nobody of the others has read back gives them no witness
+    that they did not have before.
+    """
+    simulation = new_fleet(1, count=len(NAMES), faults=CALM)
+    simulation.rng = AlwaysRun(1)
+    simulation.advance(12)
+    isolate(simulation, cut_off)
+    left = [name for name in NAMES if name not in cut_off]
+    left.sort(key=simulation.published[0].witnesses(0).__contains__)
+    removed, *kept = left
+    simulation.publish((*cut_off, *kept))
+    for name in left:
+        simulation.adopt(name, 2)
+    simulation.advance(15)
+    assert set(simulation.holders()).issubset(kept)
+    key = simulation.new_key(age=0)
+    simulation.claim(removed, key)
+    simulation.advance(1)
+    assert key in simulation.runs
+
+
 def _run_seeds(variant: Variant, seeds: int) -> None:
     for seed in range(seeds):
         run_chaos(new_fleet(seed, variant=variant), seed, steps=200)
