Read a bundle's parts from the platform outside the adoption lock

Cause: the platform watch read missing parts one by one while it held the lock under which every adoption runs. A platform that answers the index and then hangs (2 s a part) held up the news of peers, so a VM, above all one just restarted, counted as not fresh and could not take the parts from peers. Gossip's own waits are all bounded by 1 s. Change: the watch reads parts before it takes the lock, and stops at the first part that does not come; parts from a peer stay under the lock. Before: the new test in tests/cover/fleet timed out after 10 s. After: 3 of 3 tests of the file passed.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/fleet/spread.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/fleet/spread.py
@@ -188,6 +188,10 @@
         published: PublishedText,
         from_vm: str | None,
     ) -> None:
+        if name == 'bundle' and from_vm is None:
+            # Not under the lock: a platform that hangs would hold up what
+            # peers tell, and with it this VM's freshness.
+            await self._read_parts(published)
         # Two sources may offer the same revision at once; the lock makes the
         # second one see that it is no longer newer.
         async with self._adopting:
@@ -259,7 +263,7 @@
         from_vm: str | None,
     ) -> None:
         assembled = self._parts.assemble(published)
-        if isinstance(assembled, MissingParts):
+        if isinstance(assembled, MissingParts) and from_vm is not None:
             await self._fetch_parts(assembled.digests, from_vm)
             assembled = self._parts.assemble(published)
         if isinstance(assembled, MissingParts):
@@ -290,24 +294,29 @@
     async def _fetch_parts(
         self,
         digests: tuple[str, ...],
-        from_vm: str | None,
+        from_vm: str,
     ) -> None:
-        if from_vm is not None:
-            reply = await self._peers.ask(
-                from_vm,
-                'parts',
-                PartsQuestion(digests),
-                PartsReply,
-                _PEER_TIMEOUT_SECONDS,
-            )
-            texts = () if isinstance(reply, PeerSilent) else reply.texts
-            for text in texts:
-                self._parts.add(text)
+        reply = await self._peers.ask(
+            from_vm,
+            'parts',
+            PartsQuestion(digests),
+            PartsReply,
+            _PEER_TIMEOUT_SECONDS,
+        )
+        texts = () if isinstance(reply, PeerSilent) else reply.texts
+        for text in texts:
+            self._parts.add(text)
+
+    async def _read_parts(self, published: PublishedText) -> None:
+        """Reads a bundle's missing parts from the platform."""
+        assembled = self._parts.assemble(published)
+        if not isinstance(assembled, MissingParts):
             return
-        for digest in digests:
+        for digest in assembled.digests:
             outcome = await self._platform.read(f'part-{digest}', 0, 0)
-            if not isinstance(outcome, NoNewer | PlatformAway):
-                self._parts.add(outcome.text)
+            if isinstance(outcome, NoNewer | PlatformAway):
+                return
+            self._parts.add(outcome.text)
 
     async def _answer_news(
         self,
--- a/tests/cover/fleet/test_news.py
+++ b/tests/cover/fleet/test_news.py
@@ -64,6 +64,7 @@
 
     def __init__(self, bundle: str | None = None) -> None:
         self.reads = 0
+        self.asked_for_part = asyncio.Event()
         self._bundle = bundle
 
     async def read(
@@ -147,3 +148,35 @@
             loop.cancel()
 
     asyncio.run(asyncio.wait_for(scenario(), 10))
+
+
+class _PlatformWithoutParts(_Platform):
+    """Offers a bundle, but hangs when it is asked for the parts."""
+
+    async def read(
+        self,
+        name: str,
+        after: int,
+        wait_seconds: float,
+    ) -> PlatformValue | NoNewer:
+        if name.startswith('part-'):
+            self.asked_for_part.set()
+            await asyncio.Event().wait()
+        return await super().read(name, after, wait_seconds)
+
+
+def test_news_of_peers_go_on_while_the_platform_hangs() -> None:
+    async def scenario() -> None:
+        view, peers, adopted = _view(), _Peers(), asyncio.Event()
+        peers.released.set()
+        platform = _PlatformWithoutParts(_BUNDLE)
+        spread = Spread(view, Tunables(), platform, peers, adopted.set)
+        watch = asyncio.create_task(spread.run_platform_watch('bundle'))
+        await platform.asked_for_part.wait()
+        gossip = asyncio.create_task(spread.run_gossip())
+        await adopted.wait()
+        assert view.configuration.revision == 2
+        for loop in (watch, gossip):
+            loop.cancel()
+
+    asyncio.run(asyncio.wait_for(scenario(), 10))
