Storm on after the restarts until a request is answered

Cause: the scene kills vm2 and vm5, which hold the cell and the tokens. A new holder grants no permit until the old lease (3 s) and the longest run (8 s here) have ended, so about 12 s pass without permits, while the storm ended with the restarts (4 to 10 s). Answers came only from permits that VMs still had in the first two seconds; without them, 0 of all were answered. Seen: 18 restart scenes on a shared machine, some with two fleets at once and 10 after a healed partition: answers 0 to 22; in the 10 with times kept, none in a request sent later than 3 s after the first kill; one scene, 9.8 s long, had 0 answers. `not-fresh`, looked at in these 10, came only from the VM that had just been started. Ruled out in these runs: healthy VMs that are not fresh. Change: the same scene, and then storms go on until one request that was sent after both restarts is answered, bounded by the 30 s of any takeover. That is stricter: an answer from before the kills no longer passes the test.

--- a/tests/slow/once_support.py
+++ b/tests/slow/once_support.py
@@ -222,6 +222,22 @@
         )
         return [outcome for burst in bursts for outcome in burst]
 
+    async def storm_until_answered(
+        self,
+        vms: Sequence[str],
+        keys: int,
+    ) -> None:
+        """Sends storms until a request of one of them is answered.
+
+        Raises:
+            WaitedTooLong: If that takes longer than any takeover may.
+        """
+
+        async def is_answered() -> bool:
+            return answered(await self.storm(vms, keys, seconds=1)) > 0
+
+        await wait_until(is_answered, 'an answer', PATIENCE_SECONDS)
+
     async def reset(self) -> None:
         """Heals the fleet, whatever a test left, and begins a new history."""
         for vm in self.vms:
--- a/tests/slow/test_once.py
+++ b/tests/slow/test_once.py
@@ -114,11 +114,13 @@
 def test_no_key_runs_twice_while_witnesses_restart(bench: Bench) -> None:
     async def scenario() -> None:
         restarts = asyncio.create_task(_restart_two(bench))
-        outcomes = []
         while not restarts.done():
-            outcomes += await bench.storm(bench.vms, keys=20, seconds=1)
+            await bench.storm(bench.vms, keys=20, seconds=1)
         await restarts
-        assert answered(outcomes)
+        # The two held the cell and the team's tokens. Nobody may grant any
+        # until their leases and the longest run have ended, which may take
+        # longer than the restarts; keys are resent on until one is answered.
+        await bench.storm_until_answered(bench.vms, keys=20)
         await bench.heal()
         await bench.check()
 
