Keep enough time for answers: attempts cut by deadlines no longer shrink it

Cause: the time kept back for an answer was the 9/10 quantile of attempts, and attempts cut off by their deadlines counted with the little time they had had. Each cut made the next reserve smaller, so a queue once formed (cold start, busy machine) was served with 3 to 100 ms left where answers take 70 ms; the run was cut, and its slot stood idle 250 ms more. The cell answered nothing until the load ended. Ruled out: sick targets (no ejection, answers p50 70 ms), the rate (an ideal bucket on the same arrivals refuses none), lost holders. Change: a cut shorter than an answer usually takes says nothing; twice that time is reserved, since the permit needs its way back; 250 ms before any answer was seen.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/runner.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/runner.py
@@ -141,13 +141,23 @@
             ticket,
             timeout,
         )
-        if not isinstance(outcome, NotSent):
-            latency = now() - started_at
-            self._state(work.service.name).timeout.note(latency)
+        self._note_time(work, outcome, now() - started_at)
         if not isinstance(outcome, Delivered):
             self._reporter.step(work.request_id, 'failed', outcome.detail)
         return outcome
 
+    def _note_time(
+        self,
+        work: Work,
+        outcome: AttemptOutcome,
+        seconds: float,
+    ) -> None:
+        timeout = self._state(work.service.name).timeout
+        if isinstance(outcome, Delivered):
+            timeout.note_answer(seconds)
+        elif isinstance(outcome, Lost):
+            timeout.note_given_up(seconds)
+
     async def _acquire(self, work: Work, latest: float) -> Ticket | Refusal:
         token = await self._acquire_token(work)
         if isinstance(token, Refusal):
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/attempt_timeout.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/attempt_timeout.py
@@ -16,6 +16,11 @@
 MIN_TIMEOUT_SECONDS: Final = 0.25
 # A second attempt needs the rest of the time.
 MAX_SHARE_OF_REMAINING: Final = 0.5
+# A permit may come at the last moment of the wait for it, and its way back
+# takes a part of what is reserved for the answer.
+RESERVE_FACTOR: Final = 2.0
+# What an answer is assumed to take before there are enough of them.
+ASSUMED_LATENCY_SECONDS: Final = 0.125
 
 
 class AttemptTimeout:
@@ -25,29 +30,41 @@
         """Starts without any answer."""
         self._latencies = LatencyTrack()
 
-    def note(self, latency: float) -> None:
-        """Takes in how long an attempt took, in seconds.
+    @property
+    def _usual_latency(self) -> float:
+        """What nine out of ten answers take at the most, in seconds."""
+        if self._latencies.is_known:
+            return self._latencies.high_quantile
+        return ASSUMED_LATENCY_SECONDS
 
-        Attempts that were given up count with their timeout; else a service
-        that has become slower as a whole would be timed out for ever.
-        """
+    def note_answer(self, latency: float) -> None:
+        """Takes in how long an answer took, in seconds."""
         self._latencies.note(latency)
 
+    def note_given_up(self, waited: float) -> None:
+        """Takes in an attempt that was given up after `waited` seconds.
+
+        It counts with its timeout; else a service that has become slower as
+        a whole would be timed out for ever. An attempt that had less time
+        than answers usually take says nothing of the service: counted, it
+        would make the next reserve smaller still.
+        """
+        if waited >= self._usual_latency:
+            self._latencies.note(waited)
+
     def reserve(self, remaining: float) -> float:
         """Returns the seconds to keep back for the answer while waiting.
 
         A request that gets its permit too late to be answered would only
         take a slot from one that can be.
         """
-        if not self._latencies.is_known:
-            return 0
         limit = remaining * MAX_SHARE_OF_REMAINING
-        return min(limit, self._latencies.high_quantile)
+        return min(limit, RESERVE_FACTOR * self._usual_latency)
 
     def first(self, remaining: float) -> float:
         """Returns the timeout in seconds of an attempt to be repeated."""
         limit = remaining * MAX_SHARE_OF_REMAINING
         if not self._latencies.is_known:
             return limit
-        usual = STALL_FACTOR * self._latencies.high_quantile
+        usual = STALL_FACTOR * self._usual_latency
         return min(limit, max(usual, MIN_TIMEOUT_SECONDS))
--- a/tests/cover/traffic/test_attempt_timeout.py
+++ b/tests/cover/traffic/test_attempt_timeout.py
@@ -14,22 +14,55 @@
 def test_a_fast_service_is_given_up_long_before_the_deadline() -> None:
     timeout = AttemptTimeout()
     for _ in range(20):
-        timeout.note(0.05)
+        timeout.note_answer(0.05)
     assert timeout.first(REMAINING_SECONDS) == pytest.approx(8 * 0.05)
 
 
 def test_very_fast_answers_do_not_make_a_busy_vm_give_up() -> None:
     timeout = AttemptTimeout()
     for _ in range(20):
-        timeout.note(0.001)
+        timeout.note_answer(0.001)
     assert timeout.first(REMAINING_SECONDS) == pytest.approx(0.25)
 
 
 def test_a_service_that_slows_down_as_a_whole_is_soon_given_more_time() -> None:
     timeout = AttemptTimeout()
     for _ in range(32):
-        timeout.note(0.02)
+        timeout.note_answer(0.02)
     for _ in range(32):
         # Every attempt is given up at its timeout.
-        timeout.note(timeout.first(remaining=60))
+        timeout.note_given_up(timeout.first(remaining=60))
     assert timeout.first(remaining=60) > 2
+
+
+def test_attempts_cut_by_their_deadlines_do_not_shrink_the_reserve() -> None:
+    """Else each is dispatched with less time than the one before."""
+    timeout = AttemptTimeout()
+    for _ in range(32):
+        timeout.note_answer(0.07)
+    before = timeout.reserve(REMAINING_SECONDS)
+    for _ in range(64):
+        timeout.note_given_up(timeout.reserve(REMAINING_SECONDS) / 4)
+    assert timeout.reserve(REMAINING_SECONDS) == pytest.approx(before)
+
+
+@pytest.mark.parametrize('latency', [0.07, 0.5, 1.0])
+def test_the_reserve_grows_until_answers_come_within_it(latency: float) -> None:
+    timeout = AttemptTimeout()
+    for _ in range(32):
+        timeout.note_answer(0.02)
+    for _ in range(64):
+        remaining = timeout.reserve(REMAINING_SECONDS)
+        if remaining < latency:
+            timeout.note_given_up(remaining)
+        else:
+            timeout.note_answer(latency)
+    assert timeout.reserve(REMAINING_SECONDS) >= latency
+
+
+def test_time_is_kept_for_the_answer_before_any_was_seen() -> None:
+    timeout = AttemptTimeout()
+    assert timeout.reserve(REMAINING_SECONDS) > 0
+    for _ in range(64):
+        timeout.note_given_up(0.005)
+    assert timeout.reserve(REMAINING_SECONDS) == pytest.approx(0.25)
