Return tokens that outlive their wait, and hold no slot while waiting for one

A request that waited for a permit longer than its token lives (0.5 s) took a second token, the first was lost to the bucket, and it held its slot meanwhile for up to 0.25 s. The demand for tokens doubled, slots stood idle, the queue stayed long: it kept itself up after the cell was warm (12 slots, queue of 100, 30 to 105 answers a second where 170 are possible). Ruled out: the experiment's offer (an ideal bucket refuses none of the same arrivals), start-up (refusals from second 2 to the end), idle expiry (of some 165 tokens issued a second 3 to 18 came back unspent). Change: returns state a grant's unspent tokens in all, so that later ones count and doubled ones do not; a permit without a valid token goes back at once; an attempt that sent nothing gives its token back.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/runner.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/runner.py
@@ -108,6 +108,8 @@
                 return _with_truth(ticket, may_have_run)
             timeout = _attempt_timeout(work, body, attempt, state)
             outcome = await self._send(work, request, body, ticket, timeout)
+            if isinstance(outcome, NotSent) and not outcome.is_shed:
+                self._put_back(work, ticket.token)
             if isinstance(outcome, Delivered):
                 return Finished(
                     outcome.status,
@@ -159,25 +161,27 @@
             timeout.note_given_up(seconds)
 
     async def _acquire(self, work: Work, latest: float) -> Ticket | Refusal:
-        token = await self._acquire_token(work)
-        if isinstance(token, Refusal):
-            return token
-        permit = await self._acquire_permit(work, latest)
-        if isinstance(permit, Refusal):
-            self._put_back(work, token)
-            return permit
-        if token is not None and not token.is_valid(now()):
-            # The wait for the permit outlasted the token.
+        while True:
             token = await self._acquire_token(work)
             if isinstance(token, Refusal):
-                self._permits.finish(
-                    work.service.name,
-                    permit,
-                    RunOutcome.UNUSED,
-                    0,
-                )
                 return token
-        return Ticket(work.service.name, permit, token)
+            permit = await self._acquire_permit(work, latest)
+            if isinstance(permit, Refusal):
+                self._put_back(work, token)
+                return permit
+            if work.team is None or token is None:
+                return Ticket(work.service.name, permit, None)
+            # The wait for the permit may have outlasted the token.
+            token = self._tokens.exchange(work.service, work.team, token)
+            if token is not None:
+                return Ticket(work.service.name, permit, token)
+            # No slot stays idle while its request waits for a token.
+            self._permits.finish(
+                work.service.name,
+                permit,
+                RunOutcome.UNUSED,
+                0,
+            )
 
     async def _acquire_token(self, work: Work) -> SpentToken | Refusal | None:
         if work.team is None:
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/tokens.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/tokens.py
@@ -110,6 +110,22 @@
                 return shortage
             await asyncio.sleep(pause)
 
+    def exchange(
+        self,
+        service: Service,
+        team: Team,
+        token: SpentToken,
+    ) -> SpentToken | None:
+        """Returns a token that is valid now in place of one, if in hand."""
+        if token.is_valid(now()):
+            return token
+        team_key = f'{service.name}/{team.name}'
+        spending = self._spending(team_key)
+        spending.purse.return_token(token)
+        fresh = spending.purse.spend(now())
+        self._ask_ahead(team_key, spending)
+        return fresh
+
     def put_back(self, service: Service, team: Team, token: SpentToken) -> None:
         """Returns a token that no request was dispatched with."""
         spending = self._spending(f'{service.name}/{team.name}')
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_bucket.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_bucket.py
@@ -25,6 +25,7 @@
     issued_at: float
     tokens: int
     headroom: float
+    returned: int = 0
 
 
 class TokenBucket:
@@ -69,18 +70,19 @@
         self._level -= tokens
 
     def take_back(self, issue_id: str, tokens: int, now: float) -> int:
-        """Undoes part of an issue once; returns the tokens regained.
+        """Undoes an issue in part; returns the tokens regained.
 
-        An unknown issue, and one returned before, gives nothing.
+        `tokens` counts what was returned of the issue before as well. An
+        unknown issue gives nothing.
         """
         self._fill(now)
         self._forget_old_issues(now)
         issue = self._issues.get(issue_id)
         if issue is None:
             return 0
-        undone = min(tokens, issue.tokens)
-        # A later return of the same issue may be a duplicate.
-        issue.tokens = 0
+        returned = min(tokens, issue.tokens)
+        undone = max(0, returned - issue.returned)
+        issue.returned += undone
         return self._raise_levels_since(issue_id, undone)
 
     def change_terms(self, terms: TokenTerms, now: float) -> None:
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_ledger.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_ledger.py
@@ -76,7 +76,7 @@
             self._bucket.change_terms(terms, now)
 
     def give_back(self, tokens: int, now: float, grant_id: str = '') -> None:
-        """Takes back tokens of a grant that will never be spent.
+        """Takes back a grant's tokens, in all, that will never be spent.
 
         Without the id of one of this ledger's own grants nothing changes:
         tokens of an earlier holder are no part of this bucket.
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_messages.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_messages.py
@@ -5,7 +5,11 @@
 
 @frozen
 class TokenReturn:
-    """Tokens of one grant that expired unspent or will not be spent."""
+    """Tokens of one grant that expired unspent or will not be spent.
+
+    `tokens` counts all of the grant so far, those of earlier returns too,
+    so that a doubled return gives nothing.
+    """
 
     grant_id: str
     tokens: int
@@ -16,9 +20,8 @@
     """A VM's question for tokens of one team.
 
     `demand` is the VM's recent demand in requests per second. `unused`
-    names earlier grants of which tokens were never spent; a return is
-    sent at most once. Of the wanted tokens, requests wait for `waiting`
-    already; by default for all of them.
+    names earlier grants of which tokens were never spent. Of the wanted
+    tokens, requests wait for `waiting` already; by default for all of them.
     """
 
     team_key: str
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_purse.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_purse.py
@@ -11,6 +11,9 @@
 
 from attrs import define, frozen
 
+from jacinthcroft_decisions.internal.traffic.token_bucket import (
+    RETURN_GRACE_SECONDS,
+)
 from jacinthcroft_decisions.internal.traffic.token_messages import (
     TokenAsk,
     TokenGrant,
@@ -49,13 +52,22 @@
     tokens: int
 
 
+@define
+class _ExpiredGrant:
+    """How many tokens of an expired grant were never spent."""
+
+    expires_at: float
+    unspent: int = 0
+
+
 class TokenPurse:
     """Spends one team's tokens at one VM."""
 
     def __init__(self) -> None:
         """Starts with no tokens and no demand."""
         self._lots: list[_Lot] = []
-        self._unused: list[TokenReturn] = []
+        self._expired: dict[str, _ExpiredGrant] = {}
+        self._unreported: set[str] = set()
         self._demand: float = 0
         self._demand_at: float = 0
         self._unmet = 0
@@ -104,8 +116,11 @@
         wanted = self.wanted(now)
         if not wanted:
             return None
-        unused = tuple(self._unused)
-        self._unused.clear()
+        unused = tuple(
+            TokenReturn(grant_id, self._expired[grant_id].unspent)
+            for grant_id in sorted(self._unreported)
+        )
+        self._unreported.clear()
         return TokenAsk(
             team_key=team_key,
             vm=vm,
@@ -144,6 +159,8 @@
             if is_same and lot.expires_at == token.expires_at:
                 lot.tokens += 1
                 return
+        # Its request waited for longer than the token's lifetime.
+        self._note_unspent(token.grant_id, token.expires_at, 1)
 
     def _waiting(self, now: float) -> int:
         """How many requests found no token since the last grant."""
@@ -159,9 +176,30 @@
         for lot in self._lots:
             if now < lot.expires_at:
                 live.append(lot)
-            elif lot.tokens and lot.grant_id:
-                self._unused.append(TokenReturn(lot.grant_id, lot.tokens))
+            else:
+                self._note_unspent(lot.grant_id, lot.expires_at, lot.tokens)
         self._lots = live
+        self._forget_expired(now)
+
+    def _note_unspent(
+        self,
+        grant_id: str,
+        expires_at: float,
+        tokens: int,
+    ) -> None:
+        if not grant_id or not tokens:
+            return
+        known = self._expired.setdefault(grant_id, _ExpiredGrant(expires_at))
+        known.unspent += tokens
+        self._unreported.add(grant_id)
+
+    def _forget_expired(self, now: float) -> None:
+        # The holder takes nothing back after this time.
+        oldest = now - RETURN_GRACE_SECONDS
+        for grant_id, known in tuple(self._expired.items()):
+            if known.expires_at < oldest:
+                self._expired.pop(grant_id)
+                self._unreported.discard(grant_id)
 
 
 def _expiry(lot: _Lot) -> float:
