Believe no VM or zone that is alone to speak against a target

Cause (trace of a failed run of test_ejection, one_vm_cannot_reach): three resets of vm1 within 48 ms tripped the target's aggregate score. Judged by what was seen since the score's onset, vm1 was the only speaker, so "most of the VMs agree" held for 1 of 1 and the target was ejected. The path's own verdict, one line before, had rightly blamed vm1 (it looks 1 s further back). Ruled out: probes (they never judge), the cold phase and busy VMs (no other VM had a bad sign in the trace), stale windows. Same fault for a zone whose VMs speak first, and for slow answers elsewhere that counted as agreement with resets. Change: a target is at fault only if VMs of two zones agree, as far as several zones and VMs use the cell (CellUsers). Whoever is alone loses the path, the target's evidence stays: one more bad sign from another zone ejects, three good ones clear it. Other VMs bear out a fault by signs of its own kind (Detector.borne_out_by). A sick target whose first three victims are one VM's costs one request more; with victims in two zones nothing changes.

--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell.py
@@ -99,6 +99,7 @@
 
     def ask(self, ask: PermitAsk, now: float) -> int | QueueFull:
         """Queues an ask; returns the ticket under which it is granted."""
+        self._pool.health.roster.users.note(ask.vm, ask.zone, now)
         return self._queue.add(ask, now)
 
     def forget(self, ticket: int) -> None:
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell_health.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell_health.py
@@ -71,6 +71,7 @@
 
     def note(self, target: str, sample: RunSample, now: float) -> None:
         """Takes in a finished use of an active target."""
+        self.roster.users.note(sample.vm, sample.zone, now)
         health = self.roster[target]
         usual = self.roster.usual_shares(target)
         health.observe(sample, self.norm, usual, now)
@@ -80,6 +81,7 @@
     def judge(self, target: str, vm: str, now: float) -> None:
         """Draws the conclusions from what a VM reported of a target."""
         self._judge_path(target, vm, now)
+        self._clear_doubt(target, now)
         self._judge([target], now)
 
     def begin_trials(self, now: float) -> tuple[str, ...]:
@@ -91,6 +93,7 @@
 
     def tick(self, now: float) -> None:
         """Judges again, since evidence fades and paths are forgotten."""
+        self.roster.users.forget_old(now)
         for name in self.roster:
             self.roster[name].paths.forget_old(now)
         self._ejection.forget_withheld(now)
@@ -107,6 +110,19 @@
         if not verdict.is_target:
             self._block_paths(target, verdict, now)
 
+    def _clear_doubt(self, target: str, now: float) -> None:
+        """Drops what a path's fault left, once others clear the target."""
+        health = self.roster[target]
+        if not health.paths.is_in_doubt:
+            return
+        names = tuple(
+            name
+            for name in health.scores.suspicions(now)
+            if DETECTORS[name].blames_path
+        )
+        if names:
+            self._blame_paths(target, names, now)
+
     def _judge(self, names: Iterable[str], now: float) -> None:
         tripped = [
             name
@@ -122,20 +138,31 @@
         health = self.roster[target]
         names = health.scores.tripped(now)
         if all(DETECTORS[name].blames_path for name in names):
-            verdict = health.paths.verdict(health.scores.onset(names))
+            verdict = self._blame_paths(target, names, now)
             if not verdict.is_target:
-                self._block_paths(target, verdict, now)
-                health.scores.restart(names, 0, now)
                 return
         self._ejection.eject_or_withhold(target, now)
 
+    def _blame_paths(
+        self,
+        target: str,
+        names: tuple[str, ...],
+        now: float,
+    ) -> PathVerdict:
+        """Judges by all VMs' signs; what a path surely caused is dropped."""
+        health = self.roster[target]
+        verdict = health.paths.verdict(names, health.scores.onset(names))
+        if verdict.is_sure and not verdict.is_target:
+            self._block_paths(target, verdict, now)
+            health.scores.restart(names, 0, now)
+        return verdict
+
     def _block_paths(
         self,
         target: str,
         verdict: PathVerdict,
         now: float,
     ) -> None:
-        paths = (*sorted(verdict.vms), *sorted(verdict.zones))
+        paths = self.roster[target].paths.block(verdict, now)
         if paths:
-            self.roster[target].paths.block(verdict, now)
             self._tell(PathBlocked(target, paths, now))
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/detectors.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/detectors.py
@@ -6,7 +6,7 @@
 """
 
 import functools
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from attrs import frozen
 
@@ -43,11 +43,16 @@
 
 @frozen
 class Detector:
-    """A kind of sign; `blames_path` where the network may be at fault."""
+    """A kind of sign; `blames_path` where the network may be at fault.
+
+    Another VM bears a sign out by the same sign or by those of
+    `borne_out_by`. A slow answer is no sign of a connection that breaks.
+    """
 
     name: str
     judge: SampleJudge
     blames_path: bool
+    borne_out_by: frozenset[str]
 
 
 DETECTORS: dict[str, Detector] = {}
@@ -57,17 +62,24 @@
     name: str,
     *,
     blames_path: bool = False,
+    borne_out_by: Sequence[str] = (),
 ) -> Callable[[SampleJudge], SampleJudge]:
     """Registers a function as a detector."""
-    return functools.partial(_register, name, blames_path)
+    return functools.partial(
+        _register,
+        name,
+        blames_path,
+        frozenset(borne_out_by),
+    )
 
 
 def _register(
     name: str,
     blames_path: bool,
+    borne_out_by: frozenset[str],
     judge: SampleJudge,
 ) -> SampleJudge:
-    DETECTORS[name] = Detector(name, judge, blames_path)
+    DETECTORS[name] = Detector(name, judge, blames_path, borne_out_by)
     return judge
 
 
@@ -79,7 +91,7 @@
     return False if sample.outcome is RunOutcome.ANSWERED else None
 
 
-@detector('stalls', blames_path=True)
+@detector('stalls', blames_path=True, borne_out_by=('connects',))
 def is_stall(sample: RunSample, norm: CellNorm) -> Verdict:
     """Passed deadlines, and callers that gave up on a slow answer."""
     if sample.outcome is RunOutcome.STALLED:
@@ -90,7 +102,7 @@
     return False if _is_whole_answer(sample) else None
 
 
-@detector('slowness', blames_path=True)
+@detector('slowness', blames_path=True, borne_out_by=('stalls',))
 def is_slow(sample: RunSample, norm: CellNorm) -> Verdict:
     """Latencies far above the cell's own; a cold target may be slow."""
     if sample.is_cold or not _is_whole_answer(sample):
@@ -106,7 +118,7 @@
     return False if _is_whole_answer(sample) else None
 
 
-@detector('resets', blames_path=True)
+@detector('resets', blames_path=True, borne_out_by=('connects',))
 def is_reset(sample: RunSample, norm: CellNorm) -> Verdict:
     """Connections that broke off."""
     if sample.outcome is RunOutcome.RESET:
@@ -114,7 +126,11 @@
     return False if _is_whole_answer(sample) else None
 
 
-@detector('connects', blames_path=True)
+@detector(
+    'connects',
+    blames_path=True,
+    borne_out_by=('resets', 'stalls'),
+)
 def is_connect_failure(sample: RunSample, norm: CellNorm) -> Verdict:
     """Connections that could not be opened."""
     if sample.outcome is RunOutcome.CONNECT_FAILED:
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/health_roster.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/health_roster.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from random import Random
 
+from jacinthcroft_decisions.internal.traffic.cell_users import CellUsers
 from jacinthcroft_decisions.internal.traffic.detectors import DETECTORS
 from jacinthcroft_decisions.internal.traffic.target_health import (
     Standing,
@@ -20,6 +21,7 @@
 
     def __init__(self, random: Random) -> None:
         """Starts without targets."""
+        self.users = CellUsers()
         self._random = random
         self._known: dict[str, TargetHealth] = {}
         self._active: dict[str, TargetHealth] = {}
@@ -71,7 +73,8 @@
         """Takes over which targets exist, and which of them are active."""
         self._floor = floor
         self._known = {
-            name: self._known.get(name) or TargetHealth(self._random)
+            name: self._known.get(name)
+            or TargetHealth(self._random, self.users)
             for name in sorted(listed)
         }
         self._active = {name: self._known[name] for name in sorted(active)}
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/path_blame.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/path_blame.py
@@ -1,85 +1,50 @@
 """Tells a sick target from a broken path to it.
 
 Signs that the network can cause are kept by the VM that saw them. Only when
-several zones, or most of the VMs that lately used the target, agree is the
-target at fault; else the VMs (or the zone) that fail to reach it are. What
-was seen before the fault began counts for nothing.
+VMs of several zones agree is the target at fault; else the VMs (or the zone)
+that fail to reach it are. One VM or zone that is alone to speak proves
+nothing, unless nobody else uses the cell. What was seen before the fault
+began counts for nothing.
 """
 
-from collections import deque
+from collections.abc import Collection, Mapping
 from random import Random
 
 from attrs import Factory, define, frozen
 
 from jacinthcroft_decisions.internal.traffic.backoff import Backoff
-from jacinthcroft_decisions.internal.traffic.evidence import EvidenceScore
+from jacinthcroft_decisions.internal.traffic.cell_users import (
+    FORGET_VM_SECONDS,
+    CellUsers,
+)
+from jacinthcroft_decisions.internal.traffic.path_signs import (
+    BLAMING_BAD_SHARE,
+    PathSign,
+    Tally,
+    VmSigns,
+    bearing_out,
+)
 
-BLAMING_BAD_SHARE = 0.15
-FORGET_VM_SECONDS = 120.0
-# The others' answers within this time clear the target of one VM's fault.
-VERDICT_WINDOW_SECONDS = 1.0
-_SIGNS_KEPT = 16
 _PROBATION_SIGNS = 3
+# So many signs of others, nearly all good, clear a target of a path's fault.
+_CLEARING_SIGNS = 3
 
 
 @frozen
 class PathVerdict:
-    """Who is at fault: the target, or the paths of some VMs or zones."""
+    """Who is at fault: the target, or the paths of some VMs or zones.
+
+    While nobody else has said enough, the verdict is not sure: the paths get
+    no permits, so that others try the target, and the evidence is kept.
+    """
 
     is_target: bool
     vms: frozenset[str] = frozenset()
     zones: frozenset[str] = frozenset()
+    is_sure: bool = True
 
 
-@frozen
-class _Sign:
-    is_bad: bool
-    seen_at: float
-
-
-@define
-class _VmSigns:
-    """What one VM saw of the target lately."""
-
-    zone: str
-    score: EvidenceScore = Factory(EvidenceScore)
-    signs: deque[_Sign] = Factory(lambda: deque(maxlen=_SIGNS_KEPT))
-
-    @property
-    def noted_at(self) -> float:
-        """When the VM last saw anything."""
-        return self.signs[-1].seen_at
-
-    @property
-    def is_last_bad(self) -> bool:
-        """Whether the VM's last use went badly."""
-        return self.signs[-1].is_bad
-
-    @property
-    def was_tripped(self) -> bool:
-        """Whether the VM's last sign completed its own evidence."""
-        return self.score.is_tripped(self.noted_at)
-
-    def tally_since(self, since: float) -> '_Tally':
-        """Counts what the VM saw from a time on."""
-        verdicts = [sign.is_bad for sign in self.signs if sign.seen_at >= since]
-        return _Tally(self.zone, bad=sum(verdicts), seen=len(verdicts))
-
-
-@frozen
-class _Tally:
-    """One VM's bad signs among all that it saw."""
-
-    zone: str
-    bad: int
-    seen: int
-
-    def is_blaming(self) -> bool:
-        """Whether what the VM saw speaks against the target."""
-        return self.bad > 0 and self.bad >= BLAMING_BAD_SHARE * self.seen
-
-
-_Tallies = dict[str, _Tally]
+_Tallies = dict[str, Tally]
 
 
 @define
@@ -91,6 +56,7 @@
 
     until: float = 0
     good_signs: int = 0
+    is_sure: bool = False
     backoff: Backoff = Factory(Backoff)
 
     def is_on_probation(self, now: float) -> bool:
@@ -101,13 +67,20 @@
 class PathBlame:
     """The paths to one target."""
 
-    def __init__(self, random: Random) -> None:
-        """Starts with every path open."""
+    def __init__(self, random: Random, users: CellUsers) -> None:
+        """Starts with every path open; `users` are those of the cell."""
         self._random = random
-        self._signs: dict[str, _VmSigns] = {}
+        self._users = users
+        self._signs: dict[str, VmSigns] = {}
         self._blocked_vms: dict[str, _Block] = {}
         self._blocked_zones: dict[str, _Block] = {}
 
+    @property
+    def is_in_doubt(self) -> bool:
+        """Whether a path was stopped before others had said enough."""
+        blocks = (*self._blocked_vms.values(), *self._blocked_zones.values())
+        return any(not block.is_sure for block in blocks)
+
     def is_blocked(self, vm: str, zone: str, now: float) -> bool:
         """Whether a VM gets no permits for the target."""
         if not self._blocked_vms and not self._blocked_zones:
@@ -127,59 +100,111 @@
 
     def verdict_on(self, vm: str, now: float) -> PathVerdict:
         """Judges the evidence of one VM."""
-        onset = self._signs[vm].score.onset
-        return self.verdict(min(onset, now - VERDICT_WINDOW_SECONDS))
+        signs = self._signs[vm]
+        return self.verdict(signs.usual_fault, signs.score.onset)
 
-    def verdict(self, since: float) -> PathVerdict:
-        """Judges by what all VMs saw since the fault began.
+    def verdict(self, faults: Collection[str], since: float) -> PathVerdict:
+        """Judges some kinds of fault by what all VMs saw since they began.
 
-        A few VMs, or one zone, are at fault only if nothing speaks against
-        the target once what they saw is left out.
+        A few VMs, or one zone, are at fault if nothing speaks against the
+        target once what they saw is left out.
         """
-        tallies = self._tallies(since)
+        tallies = self._tallies(faults, since)
         blaming = {vm for vm in tallies if tallies[vm].is_blaming()}
-        if 2 * len(blaming) > len(tallies):
+        is_spread = self._users.is_spread(
+            blaming,
+            {tallies[vm].zone for vm in blaming},
+        )
+        if is_spread and 2 * len(blaming) > len(tallies):
+            return PathVerdict(is_target=True)
+        paths = self._paths_at_fault(tallies)
+        if paths is not None:
+            return paths
+        if is_spread:
             return PathVerdict(is_target=True)
+        return self._unsure_paths(tallies)
+
+    def _paths_at_fault(self, tallies: _Tallies) -> PathVerdict | None:
         suspects = self._suspect_vms(tallies)
         zone = _worst_zone(tallies)
         is_zone_known = zone in self._blocked_zones
         if _is_fine(tallies, suspects) and not is_zone_known:
-            return PathVerdict(is_target=False, vms=frozenset(suspects))
+            return PathVerdict(
+                is_target=False,
+                vms=frozenset(suspects),
+                is_sure=_has_cleared(tallies, suspects),
+            )
         in_zone = {vm for vm in tallies if tallies[vm].zone == zone}
         if _is_fine(tallies, in_zone):
-            return PathVerdict(is_target=False, zones=frozenset((zone,)))
-        return PathVerdict(is_target=True)
+            return PathVerdict(
+                is_target=False,
+                zones=frozenset((zone,)),
+                is_sure=_has_cleared(tallies, in_zone),
+            )
+        return None
+
+    def _unsure_paths(self, tallies: _Tallies) -> PathVerdict:
+        """Names the paths of those that are alone to speak."""
+        suspects = self._suspect_vms(tallies)
+        zone = _worst_zone(tallies)
+        if len(suspects) > 1 or zone in self._blocked_zones:
+            zones = frozenset((zone,))
+            return PathVerdict(is_target=False, zones=zones, is_sure=False)
+        return PathVerdict(
+            is_target=False,
+            vms=frozenset(suspects),
+            is_sure=False,
+        )
 
     def note(
         self,
         vm: str,
         zone: str,
-        *,
-        is_bad: bool,
+        verdicts: Mapping[str, bool],
         usual_share: float,
         now: float,
     ) -> None:
-        """Takes in what one VM saw."""
-        signs = self._signs.setdefault(vm, _VmSigns(zone))
-        signs.score.note(is_bad=is_bad, usual_share=usual_share, now=now)
-        signs.signs.append(_Sign(is_bad, now))
+        """Takes in what one VM saw, as the detectors judge it."""
+        sign = PathSign(verdicts, now)
+        signs = self._signs.setdefault(vm, VmSigns(zone))
+        signs.score.note(is_bad=sign.is_bad, usual_share=usual_share, now=now)
+        signs.signs.append(sign)
         for block in self._blocks(vm, zone):
-            if not is_bad and block.until <= now:
+            if not sign.is_bad and block.until <= now:
                 block.good_signs += 1
 
-    def block(self, verdict: PathVerdict, now: float) -> None:
-        """Stops permits on the paths at fault, for longer each time."""
-        for vm in verdict.vms:
-            self._prolong(self._blocked_vms, vm, now)
-        for zone in verdict.zones:
-            self._prolong(self._blocked_zones, zone, now)
+    def block(self, verdict: PathVerdict, now: float) -> tuple[str, ...]:
+        """Stops permits on the paths at fault, for longer each time.
+
+        Returns:
+            The paths that were not stopped already.
+        """
+        fresh = []
+        for blocks, paths in (
+            (self._blocked_vms, verdict.vms),
+            (self._blocked_zones, verdict.zones),
+        ):
+            for path in sorted(paths):
+                block = blocks.setdefault(path, _Block())
+                block.is_sure = block.is_sure or verdict.is_sure
+                if block.until <= now:
+                    self._prolong(block, now)
+                    fresh.append(path)
         for vm, signs in self._signs.items():
             if vm in verdict.vms or signs.zone in verdict.zones:
                 signs.score.restart(0, now)
+        return tuple(fresh)
 
     def clear(self) -> None:
-        """Forgets the signs: the target was ejected or readmitted."""
+        """Forgets the signs: the target was ejected or readmitted.
+
+        Paths that were never surely at fault are open again.
+        """
         self._signs.clear()
+        for blocks in (self._blocked_vms, self._blocked_zones):
+            for path, block in tuple(blocks.items()):
+                if not block.is_sure:
+                    blocks.pop(path)
 
     def forget_old(self, now: float) -> None:
         """Drops VMs that have not used the target for long."""
@@ -192,9 +217,10 @@
                 if block.until < oldest:
                     blocks.pop(path)
 
-    def _tallies(self, since: float) -> _Tallies:
+    def _tallies(self, faults: Collection[str], since: float) -> _Tallies:
+        kinds = bearing_out(faults)
         tallies = {
-            vm: known.tally_since(since) for vm, known in self._signs.items()
+            vm: known.tally(kinds, since) for vm, known in self._signs.items()
         }
         return {vm: tally for vm, tally in tallies.items() if tally.seen}
 
@@ -208,16 +234,9 @@
         blocks = (self._blocked_vms.get(vm), self._blocked_zones.get(zone))
         return [block for block in blocks if block is not None]
 
-    def _prolong(
-        self,
-        blocks: dict[str, _Block],
-        path: str,
-        now: float,
-    ) -> None:
-        block = blocks.setdefault(path, _Block())
-        if block.until <= now:
-            block.good_signs = 0
-            block.until = now + block.backoff.next_pause(now, self._random)
+    def _prolong(self, block: _Block, now: float) -> None:
+        block.good_signs = 0
+        block.until = now + block.backoff.next_pause(now, self._random)
 
 
 def _worst_zone(tallies: _Tallies) -> str:
@@ -229,7 +248,16 @@
 
 def _is_fine(tallies: _Tallies, left_out: set[str]) -> bool:
     """Whether the rest uses the target, and without more than noise."""
-    rest = [tallies[vm] for vm in tallies if vm not in left_out]
+    rest = _without(tallies, left_out)
     bad = sum(tally.bad for tally in rest)
-    seen = sum(tally.seen for tally in rest)
-    return seen > 0 and bad < BLAMING_BAD_SHARE * seen
+    return bad < BLAMING_BAD_SHARE * sum(tally.seen for tally in rest)
+
+
+def _has_cleared(tallies: _Tallies, left_out: set[str]) -> bool:
+    """Whether the rest has seen enough for its word to count."""
+    rest = _without(tallies, left_out)
+    return sum(tally.seen for tally in rest) >= _CLEARING_SIGNS
+
+
+def _without(tallies: _Tallies, left_out: set[str]) -> list[Tally]:
+    return [tallies[vm] for vm in tallies if vm not in left_out]
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/target_health.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/target_health.py
@@ -12,6 +12,7 @@
     FIRST_BACKOFF_SECONDS,
     Backoff,
 )
+from jacinthcroft_decisions.internal.traffic.cell_users import CellUsers
 from jacinthcroft_decisions.internal.traffic.detectors import (
     DETECTORS,
     CellNorm,
@@ -35,9 +36,9 @@
 class TargetHealth:
     """What speaks against one target, and what follows."""
 
-    def __init__(self, random: Random) -> None:
+    def __init__(self, random: Random, users: CellUsers) -> None:
         """Starts in use with nothing against the target."""
-        self.paths = PathBlame(random)
+        self.paths = PathBlame(random, users)
         self.scores = Scoreboard()
         self._random = random
         self._standing = Standing.IN_USE
@@ -93,7 +94,7 @@
             self.paths.note(
                 sample.vm,
                 sample.zone,
-                is_bad=any(of_path.values()),
+                verdicts=of_path,
                 usual_share=max(usual[name] for name in of_path),
                 now=now,
             )
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/target_pool.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/target_pool.py
@@ -171,7 +171,9 @@
             return
         is_step = known.latencies.has_stepped_up
         onset = health.scores.onset(('slowness',))
-        if is_step and health.paths.verdict(onset).is_target:
+        verdict = health.paths.verdict(('slowness',), onset)
+        # A ramp costs little: one VM that is alone to speak suffices for it.
+        if is_step and (verdict.is_target or not verdict.is_sure):
             known.turn_cold()
             # It stays suspect, so that others are preferred for a while.
             health.scores.restart(('slowness',), SUSPECT_SCORE, now)
