Let a partitioned fleet show that its larger side books

Cause: the test wanted an answer within a storm of 5 s, but where the cell's holder is on the smaller side nobody may grant permits until its lease (3 s) and the longest run (8 s) have ended; seen once on a busy machine: 0 answered. Ruled out: a key that ran twice or was lost (the history was in order).

--- a/tests/slow/test_once.py
+++ b/tests/slow/test_once.py
@@ -91,8 +91,10 @@
         await bench.split(minority, majority)
         await bench.split(majority, minority)
         outcomes = await bench.storm(bench.vms, keys=60, seconds=5)
-        assert answered(outcomes)
         assert any(one.outcome == 'unknown' for one in outcomes)
+        # The cell's holder may be on the smaller side: the larger one serves
+        # once its lease and the longest run on its permits have ended.
+        await bench.storm_until_answered(majority, keys=20)
         await bench.heal()
         await bench.check()
 
