--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/held_cells.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/held_cells.py
@@ -343,5 +343,12 @@
 
 
 def _note_trial(cell: Cell, target: str, answer: ProbeAnswer) -> None:
+    cell.probe_result(
+        target,
+        answer.is_ok,
+        answer.latency,
+        now(),
+        answer.boot_id,
+    )
+    # The trial that a new boot id begins early is told by its being new.
     _note_signs(cell, target, answer)
-    cell.probe_result(target, answer.is_ok, answer.latency, now())
