--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_terms.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/token_terms.py
@@ -17,6 +17,11 @@
 
 MAX_LIFETIME_SECONDS = 1.0
 MIN_LIFETIME_SECONDS = 0.03
+# A team with a small burst needs its tokens more than it needs a stock of
+# them at each VM: so many stay in the bucket before lifetimes grow beyond
+# what a token needs to be used at all.
+KEPT_TOKENS = 20.0
+SHORT_LIFETIME_SECONDS = 0.25
 # A burst of one has no half to spare: its refill is lowered by this share.
 _SINGLE_BURST_SHARE = 0.1
 
@@ -40,17 +45,21 @@
     def from_config(cls, team: Team) -> Self:
         """Derives the bucket from the team's limits.
 
-        The lifetime is as long as half of the burst allows. Where that is
-        too short for a token to reach a VM, the refill is lowered instead.
+        The lifetime is as long as half of the burst allows, and short where
+        that would leave the bucket with few tokens. Where it is too short
+        for a token to reach a VM, the refill is lowered instead.
         """
         if team.rate <= 0 or team.burst < 1:
             return cls(capacity=0, refill=0, lifetime=MIN_LIFETIME_SECONDS)
         half_burst = max(1.0, team.burst / 2)
         spare = max(team.burst - half_burst, _SINGLE_BURST_SHARE)
+        unkept = max(0, team.burst - KEPT_TOKENS)
         lifetime = min(
             MAX_LIFETIME_SECONDS,
-            max(MIN_LIFETIME_SECONDS, spare / team.rate),
+            spare / team.rate,
+            max(SHORT_LIFETIME_SECONDS, unkept / team.rate),
         )
+        lifetime = max(MIN_LIFETIME_SECONDS, lifetime)
         reach = lifetime + 1 / team.rate
         refill = min(team.rate, (team.burst + 1 - half_burst) / reach)
         capacity = min(team.burst, team.burst + 1 - refill * reach)
--- a/tests/cover/traffic/test_token_supply.py
+++ b/tests/cover/traffic/test_token_supply.py
@@ -159,7 +159,7 @@
 
 
 def test_a_token_that_expired_in_a_queue_goes_back_to_the_holder() -> None:
-    ledger = TeamLedger.from_config(make_team(rate=2, burst=20), held_since=0)
+    ledger = TeamLedger.from_config(make_team(rate=1, burst=30), held_since=0)
     grant = ledger.grant(ask_of('vm0', 10, 2), now=60, lease_until=70)
     purse = TokenPurse()
     purse.add(grant, asked_at=60, now=60)
@@ -178,9 +178,9 @@
     assert first.unused == (TokenReturn(grant.grant_id, 7),)
     # Counts what was returned before, so that a doubled return is harmless.
     assert second.unused == (TokenReturn(grant.grant_id, 10),)
-    full = ledger.grant(ask_of('vm1', 17, 2), now=61.2, lease_until=70)
-    assert full.tokens < 17
+    full = ledger.grant(ask_of('vm1', 28, 2), now=61.2, lease_until=70)
+    assert full.tokens < 28
     for ask in (second, second, first):
         ledger.give_back(ask.unused[0].tokens, 61.2, ask.unused[0].grant_id)
-    again = ledger.grant(ask_of('vm1', 17, 2), now=61.2, lease_until=70)
-    assert full.tokens + again.tokens == 17
+    again = ledger.grant(ask_of('vm1', 28, 2), now=61.2, lease_until=70)
+    assert full.tokens + again.tokens == 28
