Bench wrongful refusals against one ideal bucket; test what a request holds

The experiment shows, beside what was refused for the rate, what one bucket for the fleet would refuse of the same requests, and what was refused for capacity, which it had left out. Regression tests of the runner: a permit without a valid token goes back, an attempt that sent nothing returns its token.

--- a/packages/testkit/src/jacinthcroft_testkit/internal/bench/fairness.py
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/bench/fairness.py
@@ -10,6 +10,9 @@
     experiment,
 )
 from jacinthcroft_testkit.internal.bench.readings import Reading
+from jacinthcroft_testkit.internal.bench.single_bucket import (
+    refused_by_single_bucket,
+)
 from jacinthcroft_testkit.internal.bench.stage import (
     Stage,
     StagePlan,
@@ -17,6 +20,7 @@
     refused_share,
     stage,
 )
+from jacinthcroft_testkit.internal.history import Outcome, Sent
 from jacinthcroft_testkit.internal.latency import Latency
 
 _RATE = 40.0
@@ -28,6 +32,7 @@
 _QUIET = ('kiosks', 'caterers', 'bakeries')
 _SECONDS = 10.0
 _RATE_EXCEEDED = 'rate-exceeded'
+_NO_CAPACITY = 'no-capacity'
 _SKEWED = {'vm1': 11.0}
 _PLAN = StagePlan(dict.fromkeys((*_QUIET, _LOUD), (_RATE, _BURST)))
 
@@ -54,26 +59,36 @@
     """Spreads callers evenly, then two thirds of them on one VM of six."""
     limits = dict.fromkeys(_PLAN.limits, (_RATE, _SMALL_BURST))
     async with stage(system, evolve(_PLAN, limits=limits), seed) as running:
-        readings = []
+        readings: list[Reading] = []
         for name, weights in (('even', {}), ('skewed', _SKEWED)):
             running.use_weights(weights)
             begun = now()
             rates = dict.fromkeys(limits, _RATE * _INSIDE_SHARE)
             await running.send(rates, _SECONDS)
             pairs = running.settled('', begun)
-            readings.append(
-                Reading(
-                    f'{name}: refused for rate',
-                    '%',
-                    refused_share(pairs, _RATE_EXCEEDED),
-                ),
-            )
-            readings.append(
-                Reading(f'{name}: answered', '%', answered_share(pairs)),
-            )
+            readings.extend(_read_refusals(name, pairs))
         return readings
 
 
+def _read_refusals(
+    name: str,
+    pairs: Sequence[tuple[Sent, Outcome]],
+) -> list[Reading]:
+    floor = refused_by_single_bucket(
+        [sent for sent, _ in pairs],
+        _RATE,
+        _SMALL_BURST,
+    )
+    for_rate = refused_share(pairs, _RATE_EXCEEDED)
+    for_capacity = refused_share(pairs, _NO_CAPACITY)
+    return [
+        Reading(f'{name}: refused for rate', '%', for_rate),
+        Reading(f'{name}: refused by one ideal bucket', '%', floor),
+        Reading(f'{name}: refused for capacity', '%', for_capacity),
+        Reading(f'{name}: answered', '%', answered_share(pairs)),
+    ]
+
+
 def _read_worst(running: Stage, begun: float) -> list[Reading]:
     of_teams = [running.settled(team, begun) for team in _QUIET]
     worst_share = min(answered_share(pairs) for pairs in of_teams)
--- /dev/null
+++ b/tests/cover/fleet/test_runner.py
@@ -0,0 +1,125 @@
+"""What a request holds while it waits, and what it gives back."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from unittest import mock
+
+from jacinthcroft_daemon.internal.pipeline.admission import Work
+from jacinthcroft_daemon.internal.pipeline.attempt import (
+    Attempts,
+    Delivered,
+    NotSent,
+)
+from jacinthcroft_daemon.internal.pipeline.bodies import RequestBody
+from jacinthcroft_daemon.internal.pipeline.refusals import Refusal
+from jacinthcroft_daemon.internal.pipeline.reporting import RequestReporter
+from jacinthcroft_daemon.internal.pipeline.runner import Finished, Runner
+from jacinthcroft_daemon.internal.sharing.permits import PermitService
+from jacinthcroft_daemon.internal.sharing.quarantine import QuarantineService
+from jacinthcroft_daemon.internal.sharing.tokens import TokenService
+from jacinthcroft_decisions.traffic import HeldPermit, RunOutcome, SpentToken
+from jacinthcroft_http import Headers, IncomingRequest, now
+
+from tests.cover.traffic.builders import make_service
+
+DEADLINE_SECONDS = 60.0
+FIRST = SpentToken(0, 'first')
+SECOND = SpentToken(0, 'second')
+PERMIT = HeldPermit('permit', 't0', '127.0.0.1', 9000, 0)
+ANSWER = Delivered(200, Headers(()), b'')
+
+
+class Bench:
+    """A runner on stand-ins that record every call in order."""
+
+    def __init__(self) -> None:
+        """Starts with a token, a permit and an answer in store."""
+        self.calls = mock.Mock()
+        self.tokens = mock.create_autospec(TokenService, instance=True)
+        self.permits = mock.create_autospec(PermitService, instance=True)
+        self.attempts = mock.create_autospec(Attempts, instance=True)
+        self.calls.attach_mock(self.tokens, 'tokens')
+        self.calls.attach_mock(self.permits, 'permits')
+        self.calls.attach_mock(self.attempts, 'attempts')
+        self.tokens.acquire.side_effect = [FIRST, SECOND]
+        self.tokens.exchange.side_effect = [SECOND]
+        self.permits.acquire.return_value = PERMIT
+        self.attempts.send.side_effect = [ANSWER]
+
+    def run(self) -> Finished | Refusal:
+        runner = Runner(
+            self.tokens,
+            self.permits,
+            self.attempts,
+            mock.create_autospec(QuarantineService, instance=True),
+            mock.create_autospec(RequestReporter, instance=True),
+        )
+        body = RequestBody(b'', None)
+        return asyncio.run(runner.run(make_work(), make_request(), body, ''))
+
+    def names(self) -> list[str]:
+        return [call[0] for call in self.calls.mock_calls]
+
+
+def make_work() -> Work:
+    service = make_service()
+    return Work(
+        request_id='id',
+        service=service,
+        route=service.routes[0],
+        team=service.teams[0],
+        key_hash='',
+        deadline=now() + DEADLINE_SECONDS,
+        idempotency_key=None,
+    )
+
+
+async def empty_body() -> AsyncIterator[bytes]:
+    yield b''
+
+
+def make_request() -> IncomingRequest:
+    return IncomingRequest('GET', '/pots', Headers(()), empty_body(), now(), '')
+
+
+def test_no_slot_stays_idle_while_its_request_waits_for_a_token() -> None:
+    bench = Bench()
+    bench.tokens.exchange.side_effect = [None, SECOND]
+    assert isinstance(bench.run(), Finished)
+    assert bench.names() == [
+        'tokens.acquire',
+        'permits.acquire',
+        'tokens.exchange',
+        'permits.finish',
+        'tokens.acquire',
+        'permits.acquire',
+        'tokens.exchange',
+        'attempts.send',
+    ]
+    unused = ('history', PERMIT, RunOutcome.UNUSED, 0)
+    assert bench.permits.finish.call_args.args == unused
+
+
+def test_the_token_that_is_valid_at_dispatch_is_the_one_spent() -> None:
+    bench = Bench()
+    assert isinstance(bench.run(), Finished)
+    ticket = bench.attempts.send.call_args.args[3]
+    assert ticket.token == SECOND
+
+
+def test_an_attempt_that_sent_nothing_gives_its_token_back() -> None:
+    bench = Bench()
+    bench.tokens.exchange.side_effect = [FIRST, SECOND]
+    bench.attempts.send.side_effect = [NotSent('permit-expired'), ANSWER]
+    assert isinstance(bench.run(), Finished)
+    assert [call.args[2] for call in bench.tokens.put_back.mock_calls] == [
+        FIRST
+    ]
+
+
+def test_a_shed_attempt_has_spent_its_token() -> None:
+    bench = Bench()
+    bench.attempts.send.side_effect = [NotSent('shed', is_shed=True)]
+    # A single request leaves no room in the retry budget.
+    assert isinstance(bench.run(), Refusal)
+    assert not bench.tokens.put_back.mock_calls
