Claim a key anew while its witnesses pass to a newer list

Cause: while a VM list comes into force a shard's witnesses are fenced or not installed yet and turn every claim away at once. The VM then refused with `no-witnesses`, also resends of answered keys, until the shard was in force. The fixture of the red resend test publishes a list before each test and did not wait for it, so the list came into force in the middle of the scene. Looked for and not seen: leases lost, votes later than 1 s, resends that overtake the recorded answer. Change: a claim that a majority turned away is made anew until the request's deadline. Nothing is released that no witness recorded, so keys don't wear; a try that left a trace is repeated once. A verdict still waits for no witness that it does not need. In the tests a reset waits until every VM has its list; the resend test holds the answer back by its link until the second sending was refused, where it relied on a run of 1 s before.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/once.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/once.py
@@ -82,7 +82,10 @@
         body: RequestBody,
         fingerprint: str,
     ) -> Finished | Refusal:
-        claim, verdict = await self._claims.claim(work.claimed_thing)
+        claim, verdict = await self._claims.claim(
+            work.claimed_thing,
+            work.deadline,
+        )
         self._reporter.step(
             work.request_id,
             'claimed',
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/claims.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/claims.py
@@ -101,6 +101,23 @@
         """Starts a claim; send its requests at once."""
         return cls(key, claim_id, placement, terms, now)
 
+    @property
+    def ends_at(self) -> float:
+        """When votes stop counting."""
+        return self.started_at + self.terms.claim_timeout
+
+    @property
+    def is_turned_away(self) -> bool:
+        """Whether so many witnesses refused that no majority is left."""
+        refused = len(self._votes) - self._count(Outcome.DONE)
+        return refused > len(self._witnesses) - self._needed
+
+    @property
+    def left_no_trace(self) -> bool:
+        """Whether every witness has answered and none has recorded it."""
+        is_heard = len(self._votes) == len(self._witnesses)
+        return is_heard and not self._count(Outcome.DONE)
+
     @property
     def _shard(self) -> int:
         return self.placement.shard_of(self.key)
@@ -109,6 +126,10 @@
     def _witnesses(self) -> tuple[str, ...]:
         return self.placement.witnesses(self._shard)
 
+    @property
+    def _needed(self) -> int:
+        return majority_of(len(self._witnesses))
+
     def requests(self) -> tuple[Outgoing, ...]:
         """Returns the question to every witness."""
         message = ClaimRequest(
@@ -199,12 +220,9 @@
         answer = self._recorded_answer()
         if answer is not None:
             return ClaimAnswered(answer)
-        needed = majority_of(len(self._witnesses))
-        granted = self._count(Outcome.DONE)
-        if granted >= needed:
+        if self._count(Outcome.DONE) >= self._needed:
             return ClaimGranted()
-        pending = len(self._witnesses) - len(self._votes)
-        if granted + pending >= needed and not self._is_over(now):
+        if not self.is_turned_away and not self._is_over(now):
             return None
         return self._refusal()
 
--- a/tests/cover/coordination/test_coordination_parts.py
+++ b/tests/cover/coordination/test_coordination_parts.py
@@ -243,6 +243,28 @@
     assert claim.verdict(1) == verdict
 
 
+@pytest.mark.parametrize(
+    ('outcomes', 'is_turned_away', 'left_no_trace'),
+    [
+        ((Outcome.NOT_INSTALLED,) * 2, False, False),
+        ((Outcome.NOT_INSTALLED,) * 3, True, False),
+        ((Outcome.STALE,) * 5, True, True),
+        ((Outcome.DONE,) + (Outcome.STALE,) * 4, True, False),
+    ],
+)
+def test_a_claim_tells_whether_it_was_turned_away_without_a_trace(
+    outcomes: tuple[Outcome, ...],
+    *,
+    is_turned_away: bool,
+    left_no_trace: bool,
+) -> None:
+    claim = Claim.start(LATE, 'a', PLACEMENT, CoordinationTerms(), 0)
+    for outgoing, outcome in zip(claim.requests(), outcomes, strict=False):
+        _vote(claim, outgoing.to, outcome, 1)
+    assert claim.is_turned_away is is_turned_away
+    assert claim.left_no_trace is left_no_trace
+
+
 def test_a_settlement_also_reaches_the_witnesses_of_a_newer_list() -> None:
     claim = Claim.start(LATE, 'a', PLACEMENT, CoordinationTerms(), 0)
     newer = Placement.from_vm_list(make_list(2, NAMES[3:]), CoordinationTerms())
--- a/tests/slow/once_support.py
+++ b/tests/slow/once_support.py
@@ -245,19 +245,18 @@
                 await self.fleet.vms.start(vm)
             self.fleet.vms.resume(vm)
             self.fleet.vms.mark(vm, VmState.LIVE)
-        await self.fleet.publish_vms()
-        await self.heal()
+        await self._take_faults_away()
+        # A list that comes into force later may move the cell, and with it
+        # stop what books already.
+        await self.fleet.spread_vm_list()
+        await self.wait_until_booking()
         self._begun_at = now()
         self._resets += 1
         self.recorder = Recorder(f'{self._resets}-')
 
     async def heal(self) -> None:
         """Takes every fault away and waits until all VMs book again."""
-        await self.fleet.links.set('*', Setting())
-        await self.fleet.targets.set_faults('*', Faults())
-        for reader in ('*', *self.vms):
-            await self.fleet.platform.pin(reader, None)
-            await self.fleet.platform.treat(reader, Availability.UP)
+        await self._take_faults_away()
         await self.wait_until_booking()
 
     async def split(self, sources: Iterable[str], to: Sequence[str]) -> None:
@@ -358,6 +357,13 @@
         )
         assert not violations
 
+    async def _take_faults_away(self) -> None:
+        await self.fleet.links.set('*', Setting())
+        await self.fleet.targets.set_faults('*', Faults())
+        for reader in ('*', *self.vms):
+            await self.fleet.platform.pin(reader, None)
+            await self.fleet.platform.treat(reader, Availability.UP)
+
     async def _books(self, vm: str) -> bool:
         for _ in range(_BOOKED_IN_A_ROW):
             outcome = await self.book(vm)
--- a/tests/slow/test_once.py
+++ b/tests/slow/test_once.py
@@ -8,6 +8,7 @@
 from jacinthcroft_config import VmState
 from jacinthcroft_http import now
 from jacinthcroft_testkit import OutcomeKind
+from jacinthcroft_testkit.internal.links import Direction, Mode, Setting
 from jacinthcroft_testkit.internal.schedules import make_schedule
 from jacinthcroft_testkit.internal.target_messages import Faults
 
@@ -20,6 +21,10 @@
     slow_down,
 )
 
+_ANSWERS = (Direction.BACKWARD,)
+# Each meets another key's shard on the way.
+_LIST_CHANGES = 5
+
 
 @pytest.fixture(scope='module')
 def module_bench() -> Iterator[Bench]:
@@ -37,7 +42,9 @@
     bench: Bench,
 ) -> None:
     async def scenario() -> None:
-        await bench.fleet.targets.set_faults('*', slow_down(1))
+        # The answer is held back until the resend has met the running one.
+        held = Setting(Mode.FREEZE)
+        await bench.fleet.links.set('vm1>transfers-*', held, _ANSWERS)
         path, key = bench.new_path(BOOK), bench.new_key()
         first = asyncio.create_task(bench.send('vm1', BOOK, path, key))
         await bench.wait_for_run(key)
@@ -46,18 +53,64 @@
             'already-running',
             'unknown',
         )
+        await bench.fleet.links.set('vm1>transfers-*', Setting(), _ANSWERS)
         assert (await first).kind is OutcomeKind.ANSWERED
-        await bench.fleet.targets.set_faults('*', Faults())
+        await _resend_everywhere(bench, path, key)
+        await bench.check()
+
+    bench.run(scenario())
+
+
+def test_a_resend_finds_the_answer_while_a_list_comes_into_force(
+    bench: Bench,
+) -> None:
+    async def scenario() -> None:
+        sent = [
+            (bench.new_path(BOOK), bench.new_key())
+            for _ in range(_LIST_CHANGES)
+        ]
+        for path, key in sent:
+            first = await bench.send('vm1', BOOK, path, key)
+            assert first.kind is OutcomeKind.ANSWERED
+        for path, key in sent:
+            await bench.fleet.publish_vms()
+            await _resend_everywhere(bench, path, key)
+        await bench.check()
+
+    bench.run(scenario())
+
+
+def test_a_resend_finds_the_answer_while_a_witness_hangs(
+    bench: Bench,
+) -> None:
+    async def scenario() -> None:
+        path, key = bench.new_path(BOOK), bench.new_key()
+        first = await bench.send('vm1', BOOK, path, key)
+        assert first.kind is OutcomeKind.ANSWERED
         for vm in bench.vms:
-            later = await bench.send(vm, BOOK, path, key)
-            assert later.kind is OutcomeKind.ANSWERED
-            assert later.is_replayed
-        assert len(await bench.runs_of_key(key)) == 1
+            bench.fleet.vms.pause(vm)
+            await _resend_everywhere(bench, path, key, but=vm)
+            bench.fleet.vms.resume(vm)
         await bench.check()
 
     bench.run(scenario())
 
 
+async def _resend_everywhere(
+    bench: Bench,
+    path: str,
+    key: str,
+    but: str = '',
+) -> None:
+    for vm in bench.vms:
+        if vm == but:
+            continue
+        later = await bench.send(vm, BOOK, path, key)
+        assert later.kind is OutcomeKind.ANSWERED
+        assert later.is_replayed
+    assert len(await bench.runs_of_key(key)) == 1
+
+
 def test_a_key_does_not_run_again_after_its_vm_was_killed_in_the_run(
     bench: Bench,
 ) -> None:
