--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/target_pool.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/target_pool.py
@@ -206,7 +206,7 @@
             if health.scores.strength((sign,), now)
         )
         onset = health.scores.onset(signs)
-        if not health.paths.verdict(onset).is_target:
+        if not health.paths.verdict(signs, onset).is_target:
             return
         if not known.ramp.is_cold:
             self._tell(ColdStartNoticed(name, 'connections', now))
