Drop metrics that nothing counted; tell held shards and running requests

Cause: jacinthcroft_permits, _leases and _tokens were declared and never counted, so operators read zeros; the configuration's age was described as something it is not. Ruled out: counting every permit and token (a dictionary entry for each request, for figures that /status and the histograms tell better). Change: the three are gone; gauges read at the scrape tell the shards that the VM decides for and the requests under way.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/app.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/app.py
@@ -38,7 +38,7 @@
 from jacinthcroft_daemon.internal.sharing.probes import Prober
 from jacinthcroft_daemon.internal.sharing.quarantine import QuarantineService
 from jacinthcroft_daemon.internal.sharing.tokens import TokenService
-from jacinthcroft_daemon.internal.telemetry import Metrics, Revisions, log_event
+from jacinthcroft_daemon.internal.telemetry import Metrics, VmGauges, log_event
 
 _INCARNATION_BYTES: Final = 8
 _BAD_REQUEST: Final = 400
@@ -90,7 +90,7 @@
         )
         self._metrics = Metrics.from_limits(
             settings.tunables.metric_teams,
-            self._read_revisions,
+            self._read_gauges,
         )
         self._build_sharing(incarnation)
         self._build_ports()
@@ -241,12 +241,14 @@
         await self._operator_server.drain(1)
         log_event('info', 'stopped', vm=self._settings.vm.name, cut=cut)
 
-    def _read_revisions(self) -> Revisions:
+    def _read_gauges(self) -> VmGauges:
         view = self._view
-        return Revisions(
-            view.configuration.revision,
-            now() - view.configured_at,
-            view.vm_list.revision,
+        return VmGauges(
+            configuration=view.configuration.revision,
+            configuration_age=now() - view.configured_at,
+            vm_list=view.vm_list.revision,
+            held_shards=self._coordination.held_count,
+            running_requests=self._permits.running,
         )
 
     def _on_change(self) -> None:
--- a/packages/daemon/src/jacinthcroft_daemon/internal/telemetry/__init__.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/telemetry/__init__.py
@@ -15,7 +15,7 @@
 )
 from jacinthcroft_daemon.internal.telemetry.metrics import (
     Metrics,
-    Revisions,
+    VmGauges,
 )
 from jacinthcroft_daemon.internal.telemetry.repeats import (
     Admission,
@@ -36,7 +36,7 @@
     'Metrics',
     'RepeatLimiter',
     'RepeatLog',
-    'Revisions',
+    'VmGauges',
     'Suppression',
     'TraceBook',
     'TraceEvent',
--- a/packages/daemon/src/jacinthcroft_daemon/internal/telemetry/counts.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/telemetry/counts.py
@@ -25,21 +25,6 @@
         'service',
         'Targets that were taken out for their health.',
     )
-    PERMITS = (
-        'jacinthcroft_permits',
-        'event',
-        'Dispatch permits by what became of them.',
-    )
-    LEASES = (
-        'jacinthcroft_leases',
-        'event',
-        'Shard leases by what became of them.',
-    )
-    TOKENS = (
-        'jacinthcroft_tokens',
-        'event',
-        'Team tokens by what became of them.',
-    )
 
     @property
     def metric_name(self) -> str:
--- a/packages/daemon/src/jacinthcroft_daemon/internal/telemetry/metrics.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/telemetry/metrics.py
@@ -39,7 +39,7 @@
 # scrape of many teams has to leave the loop to them in between.
 SERIES_PER_SLICE: Final = 4
 
-# Metric name, attribute of Revisions, description.
+# Metric name, attribute of VmGauges, description.
 GAUGES: Final = (
     (
         'jacinthcroft_configuration_revision',
@@ -49,23 +49,35 @@
     (
         'jacinthcroft_configuration_age_seconds',
         'configuration_age',
-        'Time since the configuration was last known to be the newest.',
+        'Time since the configuration came in force on this VM.',
     ),
     (
         'jacinthcroft_vm_list_revision',
         'vm_list',
         'Revision of the VM list in force.',
     ),
+    (
+        'jacinthcroft_held_shards',
+        'held_shards',
+        'Shards that this VM decides for now.',
+    ),
+    (
+        'jacinthcroft_running_requests',
+        'running_requests',
+        'Requests of this VM that are under way to targets.',
+    ),
 )
 
 
 @frozen
-class Revisions:
-    """What a VM serves by, read at each scrape; the age is in seconds."""
+class VmGauges:
+    """What a VM serves by and does, read at each scrape; ages in seconds."""
 
     configuration: int
     configuration_age: float
     vm_list: int
+    held_shards: int
+    running_requests: int
 
 
 class ScrapeReader(PrometheusMetricReader):
@@ -152,7 +164,7 @@
     def from_limits(
         cls,
         metric_teams: int,
-        read_revisions: Callable[[], Revisions],
+        read_gauges: Callable[[], VmGauges],
     ) -> Self:
         """Makes metrics that keep the latest `metric_teams` teams apart."""
         latencies = LatencyTable(metric_teams)
@@ -165,7 +177,7 @@
         counts = CountTable()
         meter = provider.get_meter('jacinthcroft')
         _observe_counts(meter, counts)
-        _observe_revisions(meter, read_revisions)
+        _observe_gauges(meter, read_gauges)
         return cls(latencies, counts, registry, reader)
 
     def record_request(
@@ -227,25 +239,25 @@
     ]
 
 
-def _observe_revisions(
+def _observe_gauges(
     meter: Meter,
-    read_revisions: Callable[[], Revisions],
+    read_gauges: Callable[[], VmGauges],
 ) -> None:
     for name, attribute, description in GAUGES:
         reader = attrgetter(attribute)
         meter.create_observable_gauge(
             name,
-            callbacks=[partial(_gauge_observations, read_revisions, reader)],
+            callbacks=[partial(_gauge_observations, read_gauges, reader)],
             description=description,
         )
 
 
 def _gauge_observations(
-    read_revisions: Callable[[], Revisions],
-    reader: Callable[[Revisions], float],
+    read_gauges: Callable[[], VmGauges],
+    reader: Callable[[VmGauges], float],
     _: CallbackOptions,
 ) -> Iterable[Observation]:
-    return (Observation(reader(read_revisions())),)
+    return (Observation(reader(read_gauges())),)
 
 
 def _with_metrics(
