Plot each experiment of the bench beside its figures

Cause: matplotlib was declared for plots that did not exist; a table of dozens of lines hides which system is ahead. Ruled out: one plot for all (metrics of other units next to each other). Change: one PNG an experiment, a panel for each unit, medians with the span of the repeats.

--- a/packages/testkit/src/jacinthcroft_testkit/bench.py
+++ b/packages/testkit/src/jacinthcroft_testkit/bench.py
@@ -2,8 +2,8 @@
 
 `python -m jacinthcroft_testkit.bench` runs every experiment for every system
 several times, prints medians with the least and greatest value, and keeps
-all values in `out/bench.json`. `--only` names experiments; the others in the
-file are kept.
+all values in `out/bench.json`, with a plot of each experiment beside it.
+`--only` names experiments; the others in the file are kept.
 """
 
 import argparse
@@ -27,6 +27,7 @@
     Experiment,
     all_experiments,
 )
+from jacinthcroft_testkit.internal.bench.plots import draw
 from jacinthcroft_testkit.internal.bench.readings import Figure, summarize
 
 # Importing these modules registers their experiments.
@@ -83,6 +84,8 @@
             sys.stdout.write(f'seeds {list(seeds)}\n')
             figures = asyncio.run(run_experiment(experiment, seeds))
             save(arguments.out, experiment, seeds, figures)
+            plot = arguments.out.with_name(f'{experiment.name}.png')
+            draw(plot, experiment.title, figures)
             sys.stdout.write('\n'.join(str(one) for one in figures))
             sys.stdout.write('\n')
             sys.stdout.flush()
--- a/tests/cover/testkit/test_bench.py
+++ b/tests/cover/testkit/test_bench.py
@@ -1,8 +1,11 @@
 """The bench's own parts: its baseline, its readings and its measures."""
 
+import pathlib
+
 from jacinthcroft_config import Address, Service, Target, TargetState
 from jacinthcroft_testkit.internal.baseline.rotation import Rotation
 from jacinthcroft_testkit.internal.baseline.shares import FixedShare
+from jacinthcroft_testkit.internal.bench.plots import draw
 from jacinthcroft_testkit.internal.bench.readings import Reading, summarize
 from jacinthcroft_testkit.internal.deployments import load_sound
 from jacinthcroft_testkit.internal.documents import (
@@ -13,6 +16,7 @@
 )
 from jacinthcroft_testkit.internal.kinds import kinds_of
 from jacinthcroft_testkit.internal.latency import Latency
+from matplotlib.image import imread
 
 _TARGETS = tuple(
     Target(f't{port}', Address('127.0.0.1', port), 'z', TargetState.ACTIVE)
@@ -74,6 +78,25 @@
     assert '[3.00 .. 9.00]' in str(figure)
 
 
+def test_a_plot_has_room_for_every_unit_and_metric(
+    tmp_path: pathlib.Path,
+) -> None:
+    readings = [
+        Reading('answered', '%', 98),
+        Reading('answered while out', '%', 95),
+        Reading('detection', 's', 0.4),
+    ]
+    figures = [
+        figure
+        for system in ('product', 'baseline')
+        for figure in summarize('zone', system, [readings, readings])
+    ]
+    draw(tmp_path / 'two.png', 'Zone', figures)
+    draw(tmp_path / 'one.png', 'Zone', figures[:2])
+    two, one = (imread(tmp_path / name) for name in ('two.png', 'one.png'))
+    assert two.shape[0] > one.shape[0]
+
+
 def test_latency_has_its_median_and_99th_percentile() -> None:
     latency = Latency.from_seconds([one / 1000 for one in range(101)])
     assert round(latency.p50_ms) == 50
