--- a/packages/testkit/src/jacinthcroft_testkit/internal/bench/plots.py
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/bench/plots.py
@@ -15,7 +15,7 @@
 
 _WIDTH_INCHES: Final = 9.0
 _BAR_INCHES: Final = 0.22
-_PANEL_MARGIN_INCHES: Final = 0.9
+_PANEL_MARGIN_INCHES: Final = 1.2
 _BAR_SHARE: Final = 0.8
 
 
