Observe witnesses after a start, so that newcomers can take a list over

Change: after its start a VM observes the witnesses of shards it has no part in, once in a lease term until a whole majority shows the list in force and no trace of a later one (new module `observation`). Questions carry no records.

--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/__init__.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/__init__.py
@@ -3,7 +3,8 @@
 `placement` gives each shard its holder candidates and witnesses under a list
 revision. `witness` votes: on leases (`leases`), on claims of idempotency keys
 (`claim_votes`, `records`), and on which list is in force (`shard_memory`).
-After a restart `recovery` reads back what was forgotten. `coordinator` stands
+After a restart `recovery` reads back what was forgotten, and `observation`
+proves of other shards that nothing was. `coordinator` stands
 for shards (`candidacy`, `holds`) and puts lists in force (`activation`,
 `fence_round`, `survey`, `history`). `claims` is a claimer's side, `keys`
 judges idempotency keys, `freshness` tells whether a VM may serve at all.
@@ -16,10 +17,10 @@
   predecessor died half-way, thus finds every list that may be in force.
 * Forgotten fences. A restarted witness has forgotten what it was fenced for.
   It takes part in a list only once its memory is whole for that very list,
-  also a list that it has never met, or surely whole for an earlier one that
-  it was installed for and that was not stale by then; fences count only when
-  a majority of them came within the claim timeout, and those of several lists
-  only when their rounds began within it.
+  also a list that it has never met, or once an earlier list in force proves
+  that no later one had left a trace (`recovery`, `observation`); fences count
+  only when a majority of them came within the claim timeout, and those of
+  several lists only when their rounds began within it.
 * Forgotten records. Each witness knows the key time above which it can't
   have forgotten a claim. Drivers and restarted witnesses combine these times
   as they combine records, so lost memory makes keys unknown, never free.
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/messages.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/messages.py
@@ -174,12 +174,16 @@
 @message_kind('read-back-request')
 @frozen
 class ReadBackRequest:
-    """A restarted witness asks another one for what it has lost."""
+    """A restarted witness asks another one for what it has lost.
+
+    One that only wants to know of lists needs no records.
+    """
 
     shard: int
     revision: int
     incarnation: str
     witnesses: tuple[str, ...]
+    wants_records: bool = True
 
 
 @message_kind('read-back-reply')
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/shard_memory.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/shard_memory.py
@@ -46,6 +46,11 @@
         """The highest revision that this shard was fenced at."""
         return max(self.fences, default=0)
 
+    @property
+    def needs_observation(self) -> bool:
+        """Whether lists yet to come may still have a lost past."""
+        return math.isinf(self._whole_above)
+
     def view(
         self,
         now: float,
@@ -74,6 +79,10 @@
         """Whether no vote under the revision can have been forgotten."""
         return revision in self.whole_at or revision > self._whole_above
 
+    def note_whole_above(self, revision: int) -> None:
+        """Notes that nothing can be lost of any list above a revision."""
+        self._whole_above = min(self._whole_above, revision)
+
     def fence(self, witnesses: WitnessSet) -> None:
         """Refuses every lower revision from now on.
 
@@ -117,7 +126,7 @@
         self.installed = witnesses.revision
         if self.installed in self.surely_whole_at:
             # The list was not stale a moment ago: no later one is known.
-            self._whole_above = min(self._whole_above, self.installed)
+            self.note_whole_above(self.installed)
         self.vouch_from = vouch_from
         self.fence(witnesses)
         self.fences = {
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness.py
@@ -14,6 +14,9 @@
     Outgoing,
 )
 from jacinthcroft_decisions.internal.coordination.messages import ReadBackReply
+from jacinthcroft_decisions.internal.coordination.observation import (
+    Observation,
+)
 from jacinthcroft_decisions.internal.coordination.placement import Placement
 from jacinthcroft_decisions.internal.coordination.recovery import ReadBack
 from jacinthcroft_decisions.internal.coordination.terms import (
@@ -89,6 +92,10 @@
         for shard in range(state.terms.shard_count):
             witnesses = placement.witnesses(shard)
             state.plan_read_back(shard, placement.revision, witnesses)
+            state.plan_observation(
+                shard,
+                WitnessSet(placement.revision, witnesses),
+            )
         self._drop_old_read_backs()
 
     def learn_history(self, placements: tuple[Placement, ...]) -> None:
@@ -113,9 +120,14 @@
         unfinished = self._state.read_backs
         for read_back in tuple(unfinished.values()):
             self._finish(read_back, now)
+        self._end_observations(now)
+        asking: tuple[ReadBack | Observation, ...] = (
+            *unfinished.values(),
+            *self._state.observations.values(),
+        )
         return tuple(
             outgoing
-            for waiting in unfinished.values()
+            for waiting in asking
             for outgoing in waiting.requests(self.incarnation, now)
         )
 
@@ -128,8 +140,13 @@
         """Takes the reply to a request that `tick` returned."""
         if not isinstance(reply, ReadBackReply):
             return
+        if reply.incarnation != self.incarnation:
+            return
+        observation = self._state.observations.get(reply.shard)
+        if observation is not None:
+            observation.receive(sender, reply)
         read_back = self._state.read_backs.get((reply.shard, reply.revision))
-        if read_back is None or reply.incarnation != self.incarnation:
+        if read_back is None:
             return
         read_back.receive(sender, reply)
         self._finish(read_back, now)
@@ -158,6 +175,17 @@
             memory.lease.block(now + state.terms.abstention)
         state.read_backs.pop((read_back.shard, read_back.revision))
 
+    def _end_observations(self, now: float) -> None:
+        """Ends what has proved its point, or can't or need not any more."""
+        state = self._state
+        for shard, observation in tuple(state.observations.items()):
+            if observation.is_proof:
+                revision = observation.listed.revision
+                state.memory(shard).note_whole_above(revision)
+            is_over = observation.is_proof or observation.is_futile
+            if is_over or state.is_long_up(now):
+                state.observations.pop(shard)
+
     def _drop_old_read_backs(self) -> None:
         """Keeps the read-backs of the newest lists; drivers repeat theirs."""
         state = self._state
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness_handlers.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness_handlers.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from typing import Any, TypeAlias
 
+from attrs import evolve
+
 from jacinthcroft_decisions.internal.coordination import claim_votes
 from jacinthcroft_decisions.internal.coordination.history_messages import (
     CoordinationReply,
@@ -168,15 +170,21 @@
     now: float,
     wall: float,
 ) -> ReadBackReply:
-    is_abstaining = state.is_abstaining(now)
     state.plan_read_back(request.shard, request.revision, request.witnesses)
+    view = None
+    outcome = Outcome.ABSTAINING
+    if not state.is_abstaining(now):
+        outcome = Outcome.DONE
+        view = state.view(request.shard, now)
+        if not request.wants_records:
+            view = evolve(view, records=())
     return ReadBackReply(
         request.shard,
         request.revision,
-        Outcome.ABSTAINING if is_abstaining else Outcome.DONE,
+        outcome,
         state.newest(request.shard),
         request.incarnation,
-        None if is_abstaining else state.view(request.shard, now),
+        view,
     )
 
 
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness_state.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness_state.py
@@ -3,6 +3,9 @@
 from attrs import define, field
 
 from jacinthcroft_decisions.internal.coordination.messages import ShardView
+from jacinthcroft_decisions.internal.coordination.observation import (
+    Observation,
+)
 from jacinthcroft_decisions.internal.coordination.placement import Placement
 from jacinthcroft_decisions.internal.coordination.recovery import ReadBack
 from jacinthcroft_decisions.internal.coordination.shard_memory import (
@@ -37,6 +40,8 @@
         init=False,
     )
 
+    observations: dict[int, Observation] = field(factory=dict, init=False)
+
     @property
     def start_wall_limit(self) -> float:
         """The latest key time that an earlier incarnation may have met."""
@@ -90,6 +95,15 @@
             self.terms,
         )
 
+    def plan_observation(self, shard: int, listed: WitnessSet) -> None:
+        """Starts to observe the witnesses of an adopted list from outside.
+
+        One of an earlier list goes on when this VM is a witness now.
+        """
+        is_wanted = self.memory(shard).needs_observation and listed.vms
+        if is_wanted and self.vm not in listed.vms:
+            self.observations[shard] = Observation(shard, listed, self.terms)
+
     def memory(self, shard: int) -> ShardMemory:
         """Returns the shard's memory, a new one being fenced at the list."""
         known = self.shards.get(shard)
--- a/tests/cover/coordination/broken_variants.py
+++ b/tests/cover/coordination/broken_variants.py
@@ -113,6 +113,9 @@
     'no fence': Variant(witness=UnfencedWitness),
     'no abstention': Variant(witness=make_unabstaining),
     'no common round': Variant(coordinator=LeisurelyCoordinator),
+    'no common round, seen from outside': Variant(
+        coordinator=LeisurelyCoordinator,
+    ),
     'no vouching': Variant(witness=make_overconfident),
     'no lease majority': Variant(coordinator=MinorityCoordinator),
     'no claim majority': Variant(claim=MinorityClaim.start),
