--- a/packages/testkit/src/jacinthcroft_testkit/internal/bench/detection.py
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/bench/detection.py
@@ -3,13 +3,14 @@
 A target counts as found at the first time from which it gets, for a second,
 less than a tenth of the work that it got before the fault. A healthy
 target that meets the same measure is a false ejection. A target whose slots
-are all stalled gets no work either, whether it was found or not.
+are all stalled gets no work either, whether it was found or not. When the
+path is cut one way, requests still arrive and run, and no answer returns.
 """
 
 import asyncio
 from collections.abc import Iterable, Sequence
 
-from attrs import frozen
+from attrs import field, frozen
 from jacinthcroft_http import now
 
 from jacinthcroft_testkit.internal.bench.experiments import (
@@ -25,11 +26,18 @@
     wait_at,
 )
 from jacinthcroft_testkit.internal.history import Run
+from jacinthcroft_testkit.internal.links import Direction, Mode, Setting
 from jacinthcroft_testkit.internal.target_messages import Behaviour, Faults
 
 _TEAM = 'kiosks'
 _RATE = 100.0
-_PLAN = StagePlan({_TEAM: (_RATE * 2, 400)})
+_VMS = 6
+# All connections go through the fault proxy, so that paths can be cut too.
+_PLAN = StagePlan(
+    {_TEAM: (_RATE * 2, 400)},
+    vms=_VMS,
+    only_linked=frozenset(f'vm{number + 1}' for number in range(_VMS)),
+)
 _BEFORE_SECONDS = 3.0
 _FAULT_SECONDS = 5.0
 _RECOVERY_SECONDS = 4.0
@@ -37,16 +45,31 @@
 _FOUND_SHARE = 0.1
 _STEP_SECONDS = 0.05
 
+
+@frozen
+class _Kind:
+    """What goes wrong: in the target, or with the bytes that it sends."""
+
+    faults: Faults = field(factory=lambda: Faults(claimed_health=True))
+    is_answer_cut: bool = False
+
+
+def _shares(behaviour: Behaviour, share: float) -> _Kind:
+    """Returns the kind of a part of all requests that meet a behaviour."""
+    return _Kind(Faults({behaviour: share}, claimed_health=True))
+
+
 # The health endpoint misleads in every kind.
 _KINDS = {
-    'none': Faults(claimed_health=True),
-    'stalls half': Faults({Behaviour.STALL: 0.5}, claimed_health=True),
-    'stalls all': Faults({Behaviour.STALL: 1}, claimed_health=True),
-    'errors half': Faults({Behaviour.ERROR: 0.5}, claimed_health=True),
-    'resets half': Faults({Behaviour.RESET: 0.5}, claimed_health=True),
-    'cuts half': Faults({Behaviour.CUT: 0.5}, claimed_health=True),
-    'crosses half': Faults({Behaviour.CROSS: 0.5}, claimed_health=True),
-    'slow x10': Faults(slowness=10, claimed_health=True),
+    'none': _Kind(),
+    'stalls half': _shares(Behaviour.STALL, 0.5),
+    'stalls all': _shares(Behaviour.STALL, 1),
+    'errors half': _shares(Behaviour.ERROR, 0.5),
+    'resets half': _shares(Behaviour.RESET, 0.5),
+    'cuts half': _shares(Behaviour.CUT, 0.5),
+    'crosses half': _shares(Behaviour.CROSS, 0.5),
+    'slow x10': _Kind(Faults(slowness=10, claimed_health=True)),
+    'cut one way': _Kind(is_answer_cut=True),
 }
 
 
@@ -87,18 +110,33 @@
     begun = now()
     rounds = []
     targets = running.targets
-    for number, (kind, faults) in enumerate(_KINDS.items()):
+    for number, (name, kind) in enumerate(_KINDS.items()):
         target = targets[number % len(targets)]
-        current = _Round(kind, target, begun + number * _ROUND_SECONDS)
+        current = _Round(name, target, begun + number * _ROUND_SECONDS)
         rounds.append(current)
         await wait_at(current.fault_at, 0)
-        await running.fleet.targets.set_faults(target, faults)
+        await _break(running, target, kind)
         await wait_at(current.healed_at, 0)
-        await running.fleet.targets.set_faults(target, Faults())
+        await _heal(running, target)
         await wait_at(current.begun, _ROUND_SECONDS)
     return rounds
 
 
+async def _break(running: Stage, target: str, kind: _Kind) -> None:
+    await running.fleet.targets.set_faults(target, kind.faults)
+    if kind.is_answer_cut:
+        await running.fleet.links.set(
+            f'*>{target}',
+            Setting(Mode.CUT),
+            [Direction.BACKWARD],
+        )
+
+
+async def _heal(running: Stage, target: str) -> None:
+    await running.fleet.targets.set_faults(target, Faults())
+    await running.fleet.links.set(f'*>{target}', Setting())
+
+
 def _read(
     running: Stage,
     current: _Round,
