Give back a permit that comes too late for an answer

Cause: a permit granted at the end of the wait comes back late from a busy holder; the attempt began with 16 to 145 ms left where answers take 76 ms, was cut, and its slot stood idle 250 ms more. Ruled out: permits lost on the way (3.5 % of the slots' time), ejections (none). Change: with less than an answer's usual time left the permit goes back unused and the request is refused as not run.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/runner.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/runner.py
@@ -176,12 +176,7 @@
             if token is not None:
                 return Ticket(work.service.name, permit, token)
             # No slot stays idle while its request waits for a token.
-            self._permits.finish(
-                work.service.name,
-                permit,
-                RunOutcome.UNUSED,
-                0,
-            )
+            self._give_up(work, permit)
 
     async def _acquire_token(self, work: Work) -> SpentToken | Refusal | None:
         if work.team is None:
@@ -221,7 +216,10 @@
             latest,
         )
         if not isinstance(permit, NoPermit):
-            return permit
+            timeout = self._state(work.service.name).timeout
+            if now() < timeout.dispatch_by(latest, work.deadline):
+                return permit
+            self._give_up(work, permit)
         return Refusal(
             Reason.NO_CAPACITY,
             Outcome.NOT_RUN,
@@ -229,6 +227,9 @@
             1,
         )
 
+    def _give_up(self, work: Work, permit: HeldPermit) -> None:
+        self._permits.finish(work.service.name, permit, RunOutcome.UNUSED, 0)
+
     def _put_back(self, work: Work, token: SpentToken | None) -> None:
         if token is not None and work.team is not None:
             self._tokens.put_back(work.service, work.team, token)
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/attempt_timeout.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/attempt_timeout.py
@@ -61,6 +61,17 @@
         limit = remaining * MAX_SHARE_OF_REMAINING
         return min(limit, RESERVE_FACTOR * self._usual_latency)
 
+    def dispatch_by(self, latest: float, deadline: float) -> float:
+        """Returns when an attempt must begin that waited until `latest`.
+
+        A permit on a slow way back may arrive later than the wait for it
+        allowed. The attempt would be cut off before its answer when less
+        than an answer's usual time is left; where the deadline is too near
+        for that, when more than half of the reserve is gone.
+        """
+        half_reserve_left = (latest + deadline) / 2
+        return max(half_reserve_left, deadline - self._usual_latency)
+
     def first(self, remaining: float) -> float:
         """Returns the timeout in seconds of an attempt to be repeated."""
         limit = remaining * MAX_SHARE_OF_REMAINING
--- a/tests/cover/fleet/test_runner.py
+++ b/tests/cover/fleet/test_runner.py
@@ -46,7 +46,7 @@
         self.permits.acquire.return_value = PERMIT
         self.attempts.send.side_effect = [ANSWER]
 
-    def run(self) -> Finished | Refusal:
+    def run(self, work: Work | None = None) -> Finished | Refusal:
         runner = Runner(
             self.tokens,
             self.permits,
@@ -55,13 +55,14 @@
             mock.create_autospec(RequestReporter, instance=True),
         )
         body = RequestBody(b'', None)
-        return asyncio.run(runner.run(make_work(), make_request(), body, ''))
+        run = runner.run(work or make_work(), make_request(), body, '')
+        return asyncio.run(run)
 
     def names(self) -> list[str]:
         return [call[0] for call in self.calls.mock_calls]
 
 
-def make_work() -> Work:
+def make_work(deadline: float | None = None) -> Work:
     service = make_service()
     return Work(
         request_id='id',
@@ -69,7 +70,7 @@
         route=service.routes[0],
         team=service.teams[0],
         key_hash='',
-        deadline=now() + DEADLINE_SECONDS,
+        deadline=deadline or now() + DEADLINE_SECONDS,
         idempotency_key=None,
     )
 
@@ -100,6 +101,16 @@
     assert bench.permits.finish.call_args.args == unused
 
 
+def test_a_permit_too_late_for_an_answer_takes_no_target() -> None:
+    bench = Bench()
+    # The wait for the permit has used up all but a moment of the time.
+    outcome = bench.run(make_work(deadline=now()))
+    assert isinstance(outcome, Refusal)
+    assert not bench.attempts.send.mock_calls
+    assert bench.permits.finish.call_args.args[2] is RunOutcome.UNUSED
+    assert bench.tokens.put_back.call_args.args[2] == FIRST
+
+
 def test_the_token_that_is_valid_at_dispatch_is_the_one_spent() -> None:
     bench = Bench()
     assert isinstance(bench.run(), Finished)
--- a/tests/cover/traffic/test_attempt_timeout.py
+++ b/tests/cover/traffic/test_attempt_timeout.py
@@ -60,6 +60,16 @@
     assert timeout.reserve(REMAINING_SECONDS) >= latency
 
 
+def test_an_attempt_keeps_the_usual_time_though_its_permit_came_late() -> None:
+    timeout = AttemptTimeout()
+    for _ in range(32):
+        timeout.note_answer(0.07)
+    latest = REMAINING_SECONDS - timeout.reserve(REMAINING_SECONDS)
+    dispatch_by = timeout.dispatch_by(latest, REMAINING_SECONDS)
+    assert latest < dispatch_by
+    assert REMAINING_SECONDS - dispatch_by == pytest.approx(0.07)
+
+
 def test_time_is_kept_for_the_answer_before_any_was_seen() -> None:
     timeout = AttemptTimeout()
     assert timeout.reserve(REMAINING_SECONDS) > 0
