--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	$(PYTEST) -n 4 tests/cover tests/quality
 
 slow: install ## Run only the tests with real processes.
-	$(PYTEST) -n 0 tests/slow
+	$(PYTEST) -n 3 --durations=30 tests/slow
 
 format: install ## Rewrite the sources in the house format.
 	$(BIN)/ruff check --quiet --fix --select I $(SOURCES)
