Ask a holder the same way whether it is this VM or another

Cause: four places chose by hand between a message and a call on this VM, and HolderFinder.ask only passed its arguments on. Ruled out: nothing; found by reading. Change: HolderQuestion names the message and who answers it here; HolderFinder.ask takes the shorter way.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/holders.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/holders.py
@@ -4,7 +4,8 @@
 last; a VM that does not hold the shard says so.
 """
 
-from typing import Final, TypeVar
+from collections.abc import Awaitable, Callable
+from typing import Any, Final, Generic, TypeVar
 
 from attrs import frozen
 
@@ -25,6 +26,20 @@
     vm: str
 
 
+@frozen
+class HolderQuestion(Generic[Reply]):
+    """A question that any VM may be asked, and how this one answers it.
+
+    `timeout` is in seconds; `answer_here` takes the sender and the message.
+    """
+
+    kind: str
+    message: Any
+    reply_type: type[Reply]
+    timeout: float
+    answer_here: Callable[[str, Any], Awaitable[Reply]]
+
+
 class HolderFinder:
     """Remembers who held each shard when last asked."""
 
@@ -51,10 +66,15 @@
     async def ask(
         self,
         vm: str,
-        kind: str,
-        question: object,
-        reply_type: type[Reply],
-        timeout: float,
+        question: HolderQuestion[Reply],
     ) -> Reply | PeerSilent:
-        """Asks one VM."""
-        return await self._peers.ask(vm, kind, question, reply_type, timeout)
+        """Asks one VM; where that is this one, without a message."""
+        if vm == self._view.vm:
+            return await question.answer_here(vm, question.message)
+        return await self._peers.ask(
+            vm,
+            question.kind,
+            question.message,
+            question.reply_type,
+            question.timeout,
+        )
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/permits.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/permits.py
@@ -31,7 +31,10 @@
     ReportBatch,
     ReportBatchReply,
 )
-from jacinthcroft_daemon.internal.sharing.holders import HolderFinder
+from jacinthcroft_daemon.internal.sharing.holders import (
+    HolderFinder,
+    HolderQuestion,
+)
 
 # A holder that freezes is noticed within this time; the next candidate may
 # have taken over by then.
@@ -245,15 +248,14 @@
             request_class=question.request_class,
             patience=patience,
         )
-        if vm == self._view.vm:
-            return await self._cells.answer_ask(vm, ask)
-        reply = await self._finder.ask(
-            vm,
+        asked = HolderQuestion(
             ASK_KIND,
             ask,
             PermitReply,
             patience + _REPLY_GRACE_SECONDS,
+            self._cells.answer_ask,
         )
+        reply = await self._finder.ask(vm, asked)
         return PermitReply() if isinstance(reply, PeerSilent) else reply
 
     def _report(self, cell: str, desk: _CellDesk) -> None:
@@ -290,20 +292,15 @@
             await self._send_reports(cell, desk, further)
 
     async def _send_batch(self, batch: ReportBatch) -> ReportBatchReply:
+        question = HolderQuestion(
+            REPORT_KIND,
+            batch,
+            ReportBatchReply,
+            _REPORT_TIMEOUT_SECONDS,
+            self._cells.answer_reports,
+        )
         for vm in self._finder.likely_holders(f'cell:{batch.cell}'):
-            if vm == self._view.vm:
-                reply = await self._cells.answer_reports(vm, batch)
-            else:
-                asked = await self._finder.ask(
-                    vm,
-                    REPORT_KIND,
-                    batch,
-                    ReportBatchReply,
-                    _REPORT_TIMEOUT_SECONDS,
-                )
-                if isinstance(asked, PeerSilent):
-                    continue
-                reply = asked
-            if reply.reply is not None:
+            reply = await self._finder.ask(vm, question)
+            if isinstance(reply, ReportBatchReply) and reply.reply is not None:
                 return reply
         return ReportBatchReply(None)
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/quarantine.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/quarantine.py
@@ -20,7 +20,10 @@
 from jacinthcroft_daemon.internal.sharing.coordination import (
     CoordinationService,
 )
-from jacinthcroft_daemon.internal.sharing.holders import HolderFinder
+from jacinthcroft_daemon.internal.sharing.holders import (
+    HolderFinder,
+    HolderQuestion,
+)
 from jacinthcroft_daemon.internal.telemetry import log_event
 
 _STRIKE_KIND: Final = 'strike'
@@ -81,25 +84,23 @@
     async def strike(self, fingerprint: str, target: str) -> bool:
         """Reports a lost target; returns whether to refuse from now on."""
         strike = Strike(fingerprint, target)
-        for vm in self._finder.likely_holders(f'fingerprint:{fingerprint}'):
-            verdict = await self._strike_at(vm, strike)
-            if verdict is not None:
-                return verdict
-        # Without a holder each VM counts what it lost itself; else a request
-        # could go on crashing targets for as long as the shard has none.
-        return self._judge(strike)
-
-    async def _strike_at(self, vm: str, strike: Strike) -> bool | None:
-        if vm == self._view.vm:
-            return self._count(strike)
-        reply = await self._finder.ask(
-            vm,
+        question = HolderQuestion(
             _STRIKE_KIND,
             strike,
             StrikeReply,
             _TIMEOUT_SECONDS,
+            self._answer_strike,
         )
-        return None if isinstance(reply, PeerSilent) else reply.is_quarantined
+        for vm in self._finder.likely_holders(f'fingerprint:{fingerprint}'):
+            reply = await self._finder.ask(vm, question)
+            if (
+                isinstance(reply, StrikeReply)
+                and reply.is_quarantined is not None
+            ):
+                return reply.is_quarantined
+        # Without a holder each VM counts what it lost itself; else a request
+        # could go on crashing targets for as long as the shard has none.
+        return self._judge(strike)
 
     def _count(self, strike: Strike) -> bool | None:
         thing = f'fingerprint:{strike.fingerprint}'
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/tokens.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/tokens.py
@@ -20,11 +20,14 @@
 from jacinthcroft_http import now
 
 from jacinthcroft_daemon.internal.fleet.view import FleetView
-from jacinthcroft_daemon.internal.peers import PeerRouter, PeerSilent
+from jacinthcroft_daemon.internal.peers import PeerRouter
 from jacinthcroft_daemon.internal.sharing.coordination import (
     CoordinationService,
 )
-from jacinthcroft_daemon.internal.sharing.holders import HolderFinder
+from jacinthcroft_daemon.internal.sharing.holders import (
+    HolderFinder,
+    HolderQuestion,
+)
 
 _KIND: Final = 'tokens'
 _ASK_TIMEOUT_SECONDS: Final = 0.5
@@ -173,21 +176,18 @@
 
     async def _ask_holder(self, ask: TokenAsk) -> TokenGrant | None:
         thing = f'team:{ask.team_key}'
+        question = HolderQuestion(
+            _KIND,
+            ask,
+            TokenReply,
+            _ASK_TIMEOUT_SECONDS,
+            self._answer_ask,
+        )
         for vm in self._finder.likely_holders(thing):
-            if vm == self._view.vm:
-                grant = self._grant(ask)
-            else:
-                reply = await self._finder.ask(
-                    vm,
-                    _KIND,
-                    ask,
-                    TokenReply,
-                    _ASK_TIMEOUT_SECONDS,
-                )
-                grant = None if isinstance(reply, PeerSilent) else reply.grant
-            if grant is not None:
+            reply = await self._finder.ask(vm, question)
+            if isinstance(reply, TokenReply) and reply.grant is not None:
                 self._finder.note_holder(thing, vm)
-                return grant
+                return reply.grant
         return None
 
     async def _answer_ask(self, sender: str, ask: TokenAsk) -> TokenReply:
