--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/target_pool.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/target_pool.py
@@ -36,6 +36,9 @@
 OVERDUE_SECONDS = 1.25
 NORM_INTERVAL_SECONDS = 0.25
 _MAX_EVENTS = 1000
+# After these a target may be in cold start: started anew, or cold without a
+# sign and fallen over under its full load.
+_COLD_SIGNS = frozenset((*RESTART_SIGNS, 'stalls', 'slowness'))
 _BROKEN_OFF = frozenset((RunOutcome.CONNECT_FAILED, RunOutcome.RESET))
 
 
@@ -239,5 +242,5 @@
         self._events.append(event)
         if not isinstance(event, TargetEjected):
             return
-        if set(RESTART_SIGNS).intersection(event.reasons):
+        if _COLD_SIGNS.intersection(event.reasons):
             self.targets[event.target].turn_cold()
--- a/packages/testkit/src/jacinthcroft_testkit/fleet.py
+++ b/packages/testkit/src/jacinthcroft_testkit/fleet.py
@@ -127,6 +127,21 @@
         self.services.add(service, text, ports)
         await self._network.connect(self.vms.names(), ports)
 
+    async def add_targets(
+        self,
+        service: str,
+        targets: Iterable[str],
+        traits: Traits,
+    ) -> None:
+        """Gives a service more targets, from `publish_services` on."""
+        ports = await self.targets.add(
+            tuple(targets),
+            traits,
+            self._plan.seed,
+        )
+        self.services.add_targets(service, ports)
+        await self._network.connect(self.vms.names(), ports)
+
     async def publish_services(self) -> int:
         """Publishes all service files and returns their revision."""
         return await self.platform.publish_services(self.services.texts())
--- a/packages/testkit/src/jacinthcroft_testkit/internal/service_book.py
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/service_book.py
@@ -33,6 +33,13 @@
             for number, (name, address) in enumerate(ports.items())
         }
 
+    def add_targets(self, service: str, ports: Mapping[str, str]) -> None:
+        """Takes in further targets, dealt out to the zones in turn."""
+        targets = self._targets[service]
+        for name, address in ports.items():
+            zone = self._zone_of(len(targets))
+            targets[name] = TargetEntry(name, address, zone)
+
     def replace_text(self, service: str, text: str) -> None:
         """Changes a service file, all but its targets."""
         self._texts[service] = text
--- a/tests/cover/traffic/test_target_health.py
+++ b/tests/cover/traffic/test_target_health.py
@@ -400,3 +400,11 @@
     for turn in range(300):
         run_of_one_vm(driver, turn, sick)
         assert driver.conditions()['t2'] is not TargetCondition.COLD
+
+
+def test_a_target_ejected_for_stalls_returns_cold() -> None:
+    driver = warm_driver()
+    driver.now = eject(driver, {'t2': RunOutcome.STALLED}).retry_at
+    while driver.conditions()['t2'] is TargetCondition.EJECTED:
+        driver.run_many(1)
+    assert driver.conditions()['t2'] is TargetCondition.COLD
