One way to begin with a known key in the slow tests

Cause: two files held the same start and the same request by hand. Change: Bench.reset_keys and LOOK_BY_SPARE_KEY. No check is touched.

--- a/tests/slow/once_support.py
+++ b/tests/slow/once_support.py
@@ -11,7 +11,7 @@
 from collections.abc import Coroutine, Iterable, Iterator, Sequence
 from typing import Any, TypeVar
 
-from attrs import define, field
+from attrs import define, evolve, field
 from jacinthcroft_config import Vm, VmState, hash_key
 from jacinthcroft_http import ConnectionPool, now
 from jacinthcroft_testkit import (
@@ -125,6 +125,7 @@
     timeout=12,
 )
 LOOK = RequestKind(SERVICE, 'shop', 'key-shop', 'GET', '/transfers/{n}')
+LOOK_BY_SPARE_KEY = evolve(LOOK, api_key='key-spare')
 
 
 @define(eq=False)
@@ -254,6 +255,11 @@
         self._resets += 1
         self.recorder = Recorder(f'{self._resets}-')
 
+    async def reset_keys(self) -> None:
+        """Resets, and waits until `key-shop` is in force everywhere."""
+        await self.reset()
+        await self.wait_in_force(await self.publish_shop_keys('key-shop'))
+
     async def heal(self) -> None:
         """Takes every fault away and waits until all VMs book again."""
         await self._take_faults_away()
--- a/tests/slow/test_configurations.py
+++ b/tests/slow/test_configurations.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterator, Sequence
 
 import pytest
-from attrs import evolve
 from jacinthcroft_http import now
 from jacinthcroft_testkit import OutcomeKind, find_late_runs_of
 from jacinthcroft_testkit.internal.platform_messages import Availability
@@ -14,6 +13,7 @@
     FRESHNESS_SECONDS,
     IN_FORCE_SECONDS,
     LOOK,
+    LOOK_BY_SPARE_KEY,
     SERVICE,
     Bench,
     answered,
@@ -21,7 +21,6 @@
     write_service,
 )
 
-_SPARE = evolve(LOOK, api_key='key-spare')
 # More than a platform of any size would notice from six VMs.
 _CALLS_A_SECOND_AT_MOST = 40
 
@@ -34,15 +33,10 @@
 @pytest.fixture
 def bench(module_bench: Bench) -> Bench:
     """Returns the module's fleet with `key-shop` in force everywhere."""
-    module_bench.run(_give_key(module_bench))
+    module_bench.run(module_bench.reset_keys())
     return module_bench
 
 
-async def _give_key(bench: Bench) -> None:
-    await bench.reset()
-    await bench.wait_in_force(await bench.publish_shop_keys('key-shop'))
-
-
 async def _watch_revisions(
     bench: Bench,
     seconds: float,
@@ -78,7 +72,7 @@
             await bench.fleet.platform.treat(there, Availability.UP)
             revision = await bench.publish_shop_keys('key-shop', 'key-spare')
             await bench.wait_in_force(revision)
-        outcomes = await bench.look_everywhere(_SPARE, 0.5)
+        outcomes = await bench.look_everywhere(LOOK_BY_SPARE_KEY, 0.5)
         assert len(outcomes) == answered(outcomes)
 
     bench.run(scenario())
@@ -160,7 +154,7 @@
         runs = await bench.runs()
         assert not find_late_runs_of(runs, 'shop', withdrawn_at, 0)
         assert (await bench.revisions())['vm4'] >= newer
-        assert answered([await bench.look('vm4', _SPARE)])
+        assert answered([await bench.look('vm4', LOOK_BY_SPARE_KEY)])
 
     bench.run(scenario())
 
--- a/tests/slow/test_keys.py
+++ b/tests/slow/test_keys.py
@@ -14,13 +14,13 @@
     FRESHNESS_SECONDS,
     IN_FORCE_SECONDS,
     LOOK,
+    LOOK_BY_SPARE_KEY,
     Bench,
     answered,
     make_bench,
 )
 
 _KEYS = ('key-shop', 'key-app', 'key-spare', 'key-unheard')
-_SPARE = evolve(LOOK, api_key='key-spare')
 
 
 @pytest.fixture(scope='module')
@@ -31,15 +31,10 @@
 @pytest.fixture
 def bench(module_bench: Bench) -> Bench:
     """Returns the module's fleet with `key-shop` in force everywhere."""
-    module_bench.run(_give_key(module_bench))
+    module_bench.run(module_bench.reset_keys())
     return module_bench
 
 
-async def _give_key(bench: Bench) -> None:
-    await bench.reset()
-    await bench.wait_in_force(await bench.publish_shop_keys('key-shop'))
-
-
 async def _withdraw(bench: Bench) -> float:
     withdrawn_at = now()
     await bench.publish_shop_keys('key-spare')
@@ -153,7 +148,7 @@
             withdrawn_at,
             IN_FORCE_SECONDS,
         )
-        assert answered(await bench.look_everywhere(_SPARE, 1))
+        assert answered(await bench.look_everywhere(LOOK_BY_SPARE_KEY, 1))
 
     bench.run(scenario())
 
@@ -173,7 +168,7 @@
         )
         alone = await bench.look('vm1', LOOK)
         assert alone.reason == 'not-fresh'
-        assert not answered([await bench.look('vm1', _SPARE)])
+        assert not answered([await bench.look('vm1', LOOK_BY_SPARE_KEY)])
 
     bench.run(scenario())
 
