Give back a permit that is granted as its asker leaves

Cause: an ask whose VM had just gone (its wait ended, its request left) could still be granted in the same moment; nobody was told, and the slot stayed taken for the start window and the longest run, 2 s at a deadline of 1 s. Ruled out: VMs that keep permits (they return them when they end). Change: the holder frees the slot of a permit that no reply will carry.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/held_cells.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/held_cells.py
@@ -24,6 +24,7 @@
     PermitReport,
     QueueFull,
     ReportReply,
+    RunOutcome,
     TargetEjected,
     TargetView,
 )
@@ -175,8 +176,12 @@
         self._pump(ask.cell, held)
         try:
             return await waiting
+        except asyncio.CancelledError:
+            # The asker has gone, perhaps in the moment of the grant.
+            if waiting.done() and not waiting.cancelled():
+                _take_back(held.cell, waiting.result().permit)
+            raise
         finally:
-            # Also when the asker has gone: nobody would take the permit.
             held.waiting.pop(ticket, None)
             held.cell.forget(ticket)
 
@@ -323,7 +328,9 @@
     def _pump(self, name: str, held: _HeldCell) -> None:
         for granted in held.cell.grants(now(), self._lease_until(name)):
             waiting = held.waiting.get(granted.ticket)
-            if waiting is not None and not waiting.done():
+            if waiting is None or waiting.done():
+                _take_back(held.cell, granted.permit)
+            else:
                 waiting.set_result(PermitReply(permit=granted.permit))
         for ticket in held.cell.expired(now()):
             waiting = held.waiting.get(ticket)
@@ -352,3 +359,21 @@
     )
     # The trial that a new boot id begins early is told by its being new.
     _note_signs(cell, target, answer)
+
+
+def _take_back(cell: Cell, permit: Permit | None) -> None:
+    """Frees the slot of a permit that was never sent to its asker."""
+    if permit is None:
+        return
+    unused = PermitReport(
+        permit_id=permit.id,
+        cell=permit.cell,
+        vm='',
+        target=permit.target,
+        outcome=RunOutcome.UNUSED,
+        latency=0,
+        is_returned=True,
+        boot_id=None,
+        is_draining=False,
+    )
+    cell.report(unused, now())
