Copy no records for who only asks after lists

Cause: a witness that was observed made the handover copies of all of a shard's records and then dropped them, for 64 shards and each asker. Ruled out: a request of its own kind; the read-back's answer is the same. Change: the view is made without records where none are wanted. Behaviour is the same.

--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/shard_memory.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/shard_memory.py
@@ -56,16 +56,21 @@
         now: float,
         body_limit: int,
         is_whole: bool,
+        *,
+        has_records: bool = True,
     ) -> ShardView:
-        """Returns all of it, for drivers and restarted witnesses."""
+        """Returns all of it, for drivers and restarted witnesses.
+
+        Who asks after lists only is spared the copies of all records.
+        """
+        records = self.records.values() if has_records else ()
         return ShardView(
             fences=tuple(sorted(self.fences.values())),
             installed=self.installed,
             vouch_from=self.vouch_from,
             lease=self.lease.view(now),
             records=tuple(
-                record.for_handover(body_limit)
-                for record in self.records.values()
+                record.for_handover(body_limit) for record in records
             ),
             whole_at=tuple(sorted(self.whole_at)),
             is_whole=is_whole,
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness_handlers.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness_handlers.py
@@ -3,8 +3,6 @@
 from collections.abc import Callable
 from typing import Any, TypeAlias
 
-from attrs import evolve
-
 from jacinthcroft_decisions.internal.coordination import claim_votes
 from jacinthcroft_decisions.internal.coordination.history_messages import (
     CoordinationReply,
@@ -175,9 +173,11 @@
     outcome = Outcome.ABSTAINING
     if not state.is_abstaining(now):
         outcome = Outcome.DONE
-        view = state.view(request.shard, now)
-        if not request.wants_records:
-            view = evolve(view, records=())
+        view = state.view(
+            request.shard,
+            now,
+            has_records=request.wants_records,
+        )
     return ReadBackReply(
         request.shard,
         request.revision,
--- a/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness_state.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/coordination/witness_state.py
@@ -68,12 +68,19 @@
             return True
         return self.memory(shard).is_whole_for(revision)
 
-    def view(self, shard: int, now: float) -> ShardView:
+    def view(
+        self,
+        shard: int,
+        now: float,
+        *,
+        has_records: bool = True,
+    ) -> ShardView:
         """Returns what others may know of a shard."""
         return self.memory(shard).view(
             now,
             self.terms.handover_body_limit,
             self.is_long_up(now),
+            has_records=has_records,
         )
 
     def plan_read_back(
