Add a service's first targets like its later ones

Cause: Fleet and ServiceBook dealt targets out to the zones in two places. Change: add_service adds the file and calls add_targets.

--- a/packages/testkit/src/jacinthcroft_testkit/fleet.py
+++ b/packages/testkit/src/jacinthcroft_testkit/fleet.py
@@ -119,13 +119,8 @@
         `text` is its service file, whose targets are replaced by these. It
         is in force only after `publish_services`.
         """
-        ports = await self.targets.add(
-            tuple(targets),
-            traits,
-            self._plan.seed,
-        )
-        self.services.add(service, text, ports)
-        await self._network.connect(self.vms.names(), ports)
+        self.services.add(service, text)
+        await self.add_targets(service, targets, traits)
 
     async def add_targets(
         self,
--- a/packages/testkit/src/jacinthcroft_testkit/internal/service_book.py
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/service_book.py
@@ -21,20 +21,16 @@
         init=False,
     )
 
-    def add(self, service: str, text: str, ports: Mapping[str, str]) -> None:
-        """Takes a service file in, with other targets.
-
-        `ports` holds the targets' addresses by name; the targets are dealt
-        out to the zones in turn.
-        """
+    def add(self, service: str, text: str) -> None:
+        """Takes a service file in; its own targets are left out."""
         self._texts[service] = text
-        self._targets[service] = {
-            name: TargetEntry(name, address, self._zone_of(number))
-            for number, (name, address) in enumerate(ports.items())
-        }
+        self._targets[service] = {}
 
     def add_targets(self, service: str, ports: Mapping[str, str]) -> None:
-        """Takes in further targets, dealt out to the zones in turn."""
+        """Takes in targets, dealt out to the zones in turn.
+
+        `ports` holds their addresses by name.
+        """
         targets = self._targets[service]
         for name, address in ports.items():
             zone = self._zone_of(len(targets))
