Drop what nobody reads; free an unsent permit without a made-up report

Cause, found by reading the whole change: a probe's latency, a path verdict's time, a waiter's team, the reason of NoPermit, NotHolder and a constant of the runner had no reader. The holder freed a permit that never went out by a report in the name of no VM. Ruled out: merging note_probed_boot_id into note_signs, which also takes requests' answers and would hasten trials by late ones. Change: they are gone; Cell.take_back frees the slot. The tests keep their assertions.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/runner.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/runner.py
@@ -49,7 +49,6 @@
 # A request waits this long for a token before its rate counts as exceeded;
 # it evens out the moments between two grants.
 TOKEN_PATIENCE_SECONDS: Final = 0.25
-_SERVER_ERROR: Final = 500
 
 
 @define
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/held_cells.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/held_cells.py
@@ -24,7 +24,6 @@
     PermitReport,
     QueueFull,
     ReportReply,
-    RunOutcome,
     TargetEjected,
     TargetView,
 )
@@ -178,8 +177,7 @@
             return await waiting
         except asyncio.CancelledError:
             # The asker has gone, perhaps in the moment of the grant.
-            if waiting.done() and not waiting.cancelled():
-                _take_back(held.cell, waiting.result().permit)
+            _take_back_unsent(held.cell, waiting)
             raise
         finally:
             held.waiting.pop(ticket, None)
@@ -329,7 +327,7 @@
         for granted in held.cell.grants(now(), self._lease_until(name)):
             waiting = held.waiting.get(granted.ticket)
             if waiting is None or waiting.done():
-                _take_back(held.cell, granted.permit)
+                held.cell.take_back(granted.permit)
             else:
                 waiting.set_result(PermitReply(permit=granted.permit))
         for ticket in held.cell.expired(now()):
@@ -350,30 +348,14 @@
 
 
 def _note_trial(cell: Cell, target: str, answer: ProbeAnswer) -> None:
-    cell.probe_result(
-        target,
-        answer.is_ok,
-        answer.latency,
-        now(),
-        answer.boot_id,
-    )
+    cell.probe_result(target, answer.is_ok, now(), answer.boot_id)
     # The trial that a new boot id begins early is told by its being new.
     _note_signs(cell, target, answer)
 
 
-def _take_back(cell: Cell, permit: Permit | None) -> None:
-    """Frees the slot of a permit that was never sent to its asker."""
-    if permit is None:
+def _take_back_unsent(cell: Cell, waiting: asyncio.Future[PermitReply]) -> None:
+    if not waiting.done() or waiting.cancelled():
         return
-    unused = PermitReport(
-        permit_id=permit.id,
-        cell=permit.cell,
-        vm='',
-        target=permit.target,
-        outcome=RunOutcome.UNUSED,
-        latency=0,
-        is_returned=True,
-        boot_id=None,
-        is_draining=False,
-    )
-    cell.report(unused, now())
+    permit = waiting.result().permit
+    if permit is not None:
+        cell.take_back(permit)
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/holders.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/holders.py
@@ -19,13 +19,6 @@
 Reply = TypeVar('Reply')
 
 
-@frozen
-class NotHolder:
-    """The asked VM does not hold the shard, and decided nothing."""
-
-    vm: str
-
-
 @frozen
 class HolderQuestion(Generic[Reply]):
     """A question that any VM may be asked, and how this one answers it.
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/permits.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/permits.py
@@ -8,7 +8,7 @@
 import asyncio
 from collections import deque
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, TypeAlias
 
 from attrs import define, field
 from jacinthcroft_config import Service
@@ -48,9 +48,7 @@
 
 @dataclass(frozen=True)
 class NoPermit:
-    """No permit came in time; `reason` is for the caller's refusal."""
-
-    reason: str
+    """No permit came in time."""
 
 
 @define
@@ -61,10 +59,7 @@
     deadline: float
 
 
-@define
-class _Waiter:
-    team: str
-    future: asyncio.Future[HeldPermit]
+_Waiter: TypeAlias = asyncio.Future[HeldPermit]
 
 
 @define
@@ -112,7 +107,7 @@
             if held is not None:
                 return held
         loop = asyncio.get_running_loop()
-        waiter = _Waiter(team, loop.create_future())
+        waiter: _Waiter = loop.create_future()
         desk.waiters.append(waiter)
         question = _Question(service.name, team, request_class, deadline)
         asking = asyncio.create_task(self._ask_until(question, desk, waiter))
@@ -174,24 +169,24 @@
         asking: asyncio.Task[None],
     ) -> HeldPermit | NoPermit:
         await asyncio.wait(
-            (waiter.future, asking),
+            (waiter, asking),
             return_when=asyncio.FIRST_COMPLETED,
         )
-        if waiter.future.done():
-            return waiter.future.result()
-        return NoPermit('no-capacity')
+        if waiter.done():
+            return waiter.result()
+        return NoPermit()
 
     def _give_up(self, cell: str, waiter: _Waiter) -> None:
         # The caller may leave in the moment between the permit's arrival and
         # its use; nobody else would ever finish it.
-        if waiter.future.done() and not waiter.future.cancelled():
-            held = waiter.future.result()
+        if waiter.done() and not waiter.cancelled():
+            held = waiter.result()
             self.finish(cell, held, RunOutcome.UNUSED, 0)
 
     def _leave_queue(self, desk: _CellDesk, waiter: _Waiter) -> None:
         if waiter in desk.waiters:
             desk.waiters.remove(waiter)
-        waiter.future.cancel()
+        waiter.cancel()
 
     def _take(self, desk: _CellDesk) -> HeldPermit | None:
         held = desk.purse.take(now())
@@ -204,7 +199,7 @@
             held = self._take(desk)
             if held is None:
                 return
-            desk.waiters.popleft().future.set_result(held)
+            desk.waiters.popleft().set_result(held)
         desk.purse.return_surplus(now())
 
     async def _ask_until(
@@ -213,14 +208,14 @@
         desk: _CellDesk,
         waiter: _Waiter,
     ) -> None:
-        while now() < question.deadline and not waiter.future.done():
+        while now() < question.deadline and not waiter.done():
             asked_at = now()
             reply = await self._ask_holder(question)
             if reply.permit is not None:
                 desk.purse.add(reply.permit, asked_at, now())
                 self._serve_waiters(desk)
                 self._report(question.cell, desk)
-                if waiter.future.done():
+                if waiter.done():
                     return
             elif reply.refusal is not None:
                 return
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/probes.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/probes.py
@@ -15,7 +15,6 @@
     ConnectionPool,
     Headers,
     OutgoingRequest,
-    now,
 )
 
 _PROBE_TIMEOUT_SECONDS: Final = 1.0
@@ -25,13 +24,9 @@
 
 @frozen
 class ProbeAnswer:
-    """What a probe found; `latency` is in seconds.
-
-    The signs are those of the target's process, as with any answer of it.
-    """
+    """What a probe found, with the signs that any answer carries."""
 
     is_ok: bool
-    latency: float
     boot_id: str | None = None
     is_draining: bool = False
 
@@ -64,7 +59,6 @@
         target: Target,
         on_answer: Callable[[ProbeAnswer], None],
     ) -> None:
-        started_at = now()
         request = OutgoingRequest(
             host=target.address.host,
             port=target.address.port,
@@ -75,14 +69,13 @@
         )
         outcome = await self._pool.send(request, _PROBE_TIMEOUT_SECONDS)
         if not isinstance(outcome, Answer):
-            on_answer(ProbeAnswer(is_ok=False, latency=now() - started_at))
+            on_answer(ProbeAnswer(is_ok=False))
             return
         body = await outcome.read(_PROBE_ANSWER_BYTES)
         is_whole = isinstance(body, bytes)
         on_answer(
             ProbeAnswer(
                 is_ok=outcome.status == _OK and is_whole,
-                latency=now() - started_at,
                 boot_id=outcome.headers.get('x-boot-id'),
                 is_draining=outcome.headers.get('x-draining') == '1',
             ),
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell.py
@@ -29,6 +29,7 @@
 from jacinthcroft_decisions.internal.traffic.permit_issuer import PermitIssuer
 from jacinthcroft_decisions.internal.traffic.permit_messages import (
     CellHandover,
+    Permit,
     PermitAsk,
     PermitRenewal,
     PermitReport,
@@ -174,6 +175,12 @@
             return None
         return self._issuer.renew(report.permit_id, report.target, now)
 
+    def take_back(self, permit: Permit) -> None:
+        """Frees the slot of a permit that its asker never got."""
+        known = self._pool.targets.get(permit.target)
+        if known is not None:
+            known.slots.release(permit.id)
+
     def tick(self, now: float) -> None:
         """Does what is due: frees overdue slots, judges, begins trials."""
         self._pool.tick(now)
@@ -213,7 +220,6 @@
         self,
         target: str,
         is_ok: bool,
-        latency: float,
         now: float,
         boot_id: str | None = None,
     ) -> None:
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell_health.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/cell_health.py
@@ -118,7 +118,7 @@
             return
         if not health.paths.has_tripped(vm, now):
             return
-        verdict = health.paths.verdict_on(vm, now)
+        verdict = health.paths.verdict_on(vm)
         if not verdict.is_target:
             self._block_paths(target, verdict, now)
 
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/path_blame.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/path_blame.py
@@ -98,7 +98,7 @@
             block.is_on_probation(now) for block in self._blocks(vm, signs.zone)
         )
 
-    def verdict_on(self, vm: str, now: float) -> PathVerdict:
+    def verdict_on(self, vm: str) -> PathVerdict:
         """Judges the evidence of one VM."""
         signs = self._signs[vm]
         return self.verdict(signs.usual_fault, signs.score.onset)
--- a/tests/cover/traffic/test_target_health.py
+++ b/tests/cover/traffic/test_target_health.py
@@ -1,6 +1,7 @@
 """Sick targets are found by how they differ from the others."""
 
 import itertools
+from collections.abc import Callable
 
 import pytest
 from jacinthcroft_decisions.traffic import (
@@ -164,14 +165,14 @@
     driver.used.clear()
     assert driver.cell.probe_wanted(driver.now) == 't2'
     assert driver.cell.probe_wanted(driver.now) is None
-    driver.cell.probe_result('t2', False, 0.02, driver.now)
+    driver.cell.probe_result('t2', False, driver.now)
     driver.now += 0.5
     driver.run_many(12)
     assert 't2' not in driver.used
     for _ in range(20):
         driver.now += 0.5
         if driver.cell.probe_wanted(driver.now):
-            driver.cell.probe_result('t2', False, 0.02, driver.now)
+            driver.cell.probe_result('t2', False, driver.now)
         driver.run_many(1)
     assert 't2' in driver.used
 
@@ -281,12 +282,11 @@
     latency: float,
 ) -> None:
     """Runs requests until one has ended this way on t2."""
-    driver.used.clear()
-    for _ in range(500):
-        driver.run_many(1, {'t2': outcome}, slow={'t2': latency})
-        if 't2' in driver.used:
-            return
-    raise AssertionError('t2 got no work')
+    sick = {'t2': outcome}
+    repeat_until_used(
+        driver,
+        lambda: driver.run_many(1, sick, slow={'t2': latency}),
+    )
 
 
 def run_from_until_used(
@@ -296,9 +296,14 @@
     zone: str,
 ) -> None:
     """Runs one VM's requests until one has ended this way on t2."""
+    repeat_until_used(driver, lambda: driver.run({'t2': outcome}, vm, zone))
+
+
+def repeat_until_used(driver: Driver, run: Callable[[], object]) -> None:
+    """Repeats a run until t2 has got one."""
     driver.used.clear()
     for _ in range(500):
-        driver.run({'t2': outcome}, vm, zone)
+        run()
         if 't2' in driver.used:
             return
     raise AssertionError('t2 got no work')
@@ -352,7 +357,7 @@
     driver = known_by('one')
     ejection = eject(driver, {'t2': RunOutcome.CONNECT_FAILED})
     assert driver.cell.probe_wanted(driver.now) == 't2'
-    driver.cell.probe_result('t2', True, 0.02, driver.now, 'two')
+    driver.cell.probe_result('t2', True, driver.now, 'two')
     run_until_used(driver, RunOutcome.ANSWERED, FAST)
     assert driver.now < ejection.retry_at
 
@@ -361,7 +366,7 @@
     driver = known_by('one')
     ejection = eject(driver, {'t2': RunOutcome.RESET})
     assert driver.cell.probe_wanted(driver.now) == 't2'
-    driver.cell.probe_result('t2', True, 0.02, driver.now, 'one')
+    driver.cell.probe_result('t2', True, driver.now, 'one')
     run_until_used(driver, RunOutcome.ANSWERED, FAST)
     assert driver.now >= ejection.retry_at
 
@@ -370,7 +375,7 @@
     driver = known_by('one')
     for boot_id in ('two', 'three', 'four'):
         ejection = eject(driver, {'t2': RunOutcome.CONNECT_FAILED})
-        driver.cell.probe_result('t2', True, 0.02, driver.now, boot_id)
+        driver.cell.probe_result('t2', True, driver.now, boot_id)
         run_until_used(driver, RunOutcome.ANSWERED, FAST)
         driver.run_many(20)
     assert driver.now >= ejection.retry_at
@@ -394,7 +399,7 @@
     driver = known_by('one')
     ejection = eject(driver, {'t2': RunOutcome.CONNECT_FAILED})
     assert driver.cell.probe_wanted(driver.now) == 't2'
-    driver.cell.probe_result('t2', False, 0.02, driver.now)
+    driver.cell.probe_result('t2', False, driver.now)
     driver.now = ejection.retry_at
     driver.run_many(1)
     assert 't2' in driver.used[-1:]
