--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,8 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := config decisions http daemon cli testkit
-SOURCES := packages tests
+PACKAGES := $(addprefix packages/,config decisions http daemon cli testkit) platform
+SOURCES := packages platform tests
 PYTEST := $(BIN)/python -m pytest
 
 .PHONY: help install demo test cover slow lint format types bench clean
@@ -11,10 +11,10 @@
 help: ## List the chores.
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /  /'
 
-$(VENV)/installed: constraints.txt packages/*/pyproject.toml
+$(VENV)/installed: constraints.txt packages/*/pyproject.toml platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check --requirement constraints.txt
-	$(BIN)/pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps $(PACKAGES:%=--editable packages/%)
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps $(PACKAGES:%=--editable %)
 	touch $@
 
 install: $(VENV)/installed ## Install everything into .venv.
--- a/packages/daemon/src/jacinthcroft_daemon/internal/app.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/app.py
@@ -38,7 +38,8 @@
 from jacinthcroft_daemon.internal.sharing.probes import Prober
 from jacinthcroft_daemon.internal.sharing.quarantine import QuarantineService
 from jacinthcroft_daemon.internal.sharing.tokens import TokenService
-from jacinthcroft_daemon.internal.telemetry import Metrics, VmGauges, log_event
+from jacinthcroft_daemon.internal.telemetry import log_event
+from jacinthcroft_daemon.internal.telemetry.metrics import Metrics, VmGauges
 
 _INCARNATION_BYTES: Final = 8
 _BAD_REQUEST: Final = 400
--- a/packages/daemon/src/jacinthcroft_daemon/internal/operators.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/operators.py
@@ -13,7 +13,7 @@
 )
 from jacinthcroft_daemon.internal.sharing.held_cells import HeldCells
 from jacinthcroft_daemon.internal.sharing.permits import PermitService
-from jacinthcroft_daemon.internal.telemetry import Metrics
+from jacinthcroft_daemon.internal.telemetry.metrics import Metrics
 
 _OK: Final = 200
 _NOT_FOUND: Final = 404
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/refusals.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/refusals.py
@@ -45,6 +45,7 @@
     DEADLINE_EXCEEDED = 'deadline-exceeded'
     TARGET_FAILED = 'target-failed'
     QUARANTINED = 'quarantined'
+    SUSPENDED = 'suspended'
     NOT_FRESH = 'not-fresh'
     NO_WITNESSES = 'no-witnesses'
     LEAVING = 'leaving'
@@ -73,6 +74,7 @@
     Reason.DEADLINE_EXCEEDED: 504,
     Reason.TARGET_FAILED: 502,
     Reason.QUARANTINED: 422,
+    Reason.SUSPENDED: 503,
     Reason.NOT_FRESH: 503,
     Reason.NO_WITNESSES: 503,
     Reason.LEAVING: 503,
@@ -94,8 +96,17 @@
         return _STATUS_BY_REASON[self.reason]
 
 
-def refusal_response(refusal: Refusal, request_id: str) -> Response:
-    """Returns the problem+json answer that carries a refusal."""
+def refusal_response(
+    refusal: Refusal,
+    request_id: str,
+    *,
+    has_fractions: bool = False,
+) -> Response:
+    """Returns the problem+json answer that carries a refusal.
+
+    `has_fractions` allows parts of seconds in Retry-After, for callers that
+    are known to understand them.
+    """
     document = {
         'type': 'about:blank',
         'title': refusal.reason.value.replace('-', ' '),
@@ -109,7 +120,9 @@
         ('content-type', 'application/problem+json'),
         ('x-request-id', request_id),
     ]
-    if refusal.retry_after > 0:
+    if refusal.retry_after > 0 and has_fractions:
+        pairs.append(('retry-after', f'{refusal.retry_after:.2f}'))
+    elif refusal.retry_after > 0:
         # Retry-After takes whole seconds; rounding up keeps its promise.
         pairs.append(('retry-after', str(int(refusal.retry_after) + 1)))
     return Response(
--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/reporting.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/reporting.py
@@ -9,11 +9,11 @@
 from jacinthcroft_daemon.internal.pipeline.refusals import Refusal
 from jacinthcroft_daemon.internal.telemetry import (
     Count,
-    Metrics,
     RepeatLog,
     TraceBook,
     log_event,
 )
+from jacinthcroft_daemon.internal.telemetry.metrics import Metrics
 from jacinthcroft_http import now
 
 # Refusals of one reason and team come by the thousand under overload.
--- /dev/null
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/__init__.py
@@ -0,0 +1,1 @@
+"""A VM of a fleet that finds itself through seeds, with no VM list."""
--- /dev/null
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/documents_copy.py
@@ -0,0 +1,157 @@
+"""This VM's copy of what is published, and its decoded form."""
+
+import zlib
+from typing import Any, Final
+
+import msgpack
+from attrs import define, field
+from jacinthcroft_decisions.dispatch import Configuration, FleetDocuments
+from jacinthcroft_decisions.membership import Changes, Item, PublishedState
+from jacinthcroft_http import now
+
+from jacinthcroft_daemon.internal.seeded.deployment import Translator
+from jacinthcroft_daemon.internal.telemetry.events import log_event
+
+_MILLIS: Final = 1000
+# Part of the time until a withdrawn key must be refused for which a copy
+# counts as fresh; the rest covers requests that are on their way.
+FRESH_SHARE: Final = 0.6
+
+
+@define
+class DocumentsCopy:
+    """Published items, merged from the platform and from other VMs."""
+
+    translator: Translator
+    revoke_seconds: float
+    state: PublishedState = field(factory=PublishedState)
+    documents: FleetDocuments = field(factory=FleetDocuments.empty)
+    _next_lapse: float | None = None
+    _was_fresh: bool = False
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """The configuration in force, once there is one."""
+        return self.documents.configuration
+
+    @property
+    def is_fresh(self) -> bool:
+        """Whether withdrawn keys are known well enough."""
+        return self.state.age(now()) < self.revoke_seconds * FRESH_SHARE
+
+    def absorb(self, changes: Changes) -> bool:
+        """Merges changes; returns whether the documents are new."""
+        if not self.state.absorb(changes, now()):
+            return False
+        self._translate()
+        return True
+
+    def confirm(self, at: float) -> None:
+        """Notes that the platform vouched for the copy."""
+        self.state.confirm(at)
+
+    def tick(self) -> bool:
+        """Ends entries that lapsed; returns whether documents changed."""
+        is_fresh = self.is_fresh
+        if is_fresh != self._was_fresh:
+            self._was_fresh = is_fresh
+            event = 'state-fresh' if is_fresh else 'state-stale'
+            log_event('info', event, version=self.state.version)
+        if self._next_lapse is None or now() <= self._next_lapse:
+            return False
+        self._translate()
+        return True
+
+    def export(self, version: int) -> bytes:
+        """Returns what a copy of that version lacks, compressed."""
+        changes = self.state.changes_since(version)
+        rows = [_pack_item(item) for item in changes.items]
+        packed = msgpack.packb((changes.version, changes.is_whole, rows))
+        return zlib.compress(packed)
+
+    def _translate(self) -> None:
+        at = now()
+        before = self.documents
+        after = self.translator.translate(self.state.live_values(at))
+        after = _never_back(before, after)
+        self.documents = after
+        self._next_lapse = self.state.next_lapse(at)
+        _log_change(before, after, self.state.version)
+
+
+def import_changes(exported: bytes) -> Changes:
+    """Returns the changes that another VM exported.
+
+    Raises:
+        ValueError: If they cannot be read.
+    """
+    try:
+        version, is_whole, rows = msgpack.unpackb(zlib.decompress(exported))
+        items = tuple(_unpack_item(row) for row in rows)
+    except (zlib.error, TypeError, msgpack.UnpackException) as error:
+        raise ValueError(f'unreadable copy: {error}') from error
+    return Changes(items, int(version), bool(is_whole))
+
+
+def _pack_item(item: Item) -> list[Any]:
+    kept_millis = None
+    if item.kept_until is not None:
+        kept_millis = int((item.kept_until - now()) * _MILLIS)
+    return [item.key, item.revision, item.value, kept_millis]
+
+
+def _unpack_item(row: list[Any]) -> Item:
+    key, revision, value, kept_millis = row
+    kept_until = None
+    if kept_millis is not None:
+        kept_until = now() + kept_millis / _MILLIS
+    return Item(str(key), int(revision), value, kept_until)
+
+
+def _never_back(
+    before: FleetDocuments,
+    after: FleetDocuments,
+) -> FleetDocuments:
+    """Keeps the configuration in force unless the other one is newer."""
+    if before.configuration is None:
+        return after
+    is_newer = (
+        after.configuration is not None
+        and after.configuration.version > before.configuration.version
+    )
+    if is_newer:
+        return after
+    return FleetDocuments(
+        before.configuration,
+        after.targets,
+        after.evacuated_zones,
+    )
+
+
+def _log_change(
+    before: FleetDocuments,
+    after: FleetDocuments,
+    version: int,
+) -> None:
+    if after.configuration is not before.configuration:
+        configuration = after.configuration
+        log_event(
+            'info',
+            'configuration-adopted',
+            version=configuration.version if configuration else None,
+            state=version,
+        )
+    if after.evacuated_zones != before.evacuated_zones:
+        zones = ','.join(sorted(after.evacuated_zones))
+        log_event('info', 'zones-evacuated', zones=zones, state=version)
+    for target_id in set(before.targets) | set(after.targets):
+        old = before.targets.get(target_id)
+        new = after.targets.get(target_id)
+        if (old and old.is_ready) != (new and new.is_ready):
+            log_event(
+                'info',
+                'target-listed' if new and new.is_ready else 'target-leaving',
+                target=target_id,
+                is_listed=new is not None,
+                state=version,
+            )
--- /dev/null
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/fleet_link.py
@@ -0,0 +1,383 @@
+"""Polls other VMs, answers theirs, and decides for those that follow."""
+
+import asyncio
+from typing import Any, Final
+
+from attrs import define, field
+from jacinthcroft_decisions.dispatch import Ask, Decider, Decision, Outcome
+from jacinthcroft_decisions.membership import (
+    Leadership,
+    PollReply,
+    Role,
+)
+from jacinthcroft_decisions.membership import Poll as PollMessage
+from jacinthcroft_http import (
+    BodyCut,
+    ConnectionPool,
+    Interrupted,
+    NothingSent,
+    OutgoingRequest,
+    now,
+)
+
+from jacinthcroft_daemon.internal.seeded.datagrams import Datagrams
+from jacinthcroft_daemon.internal.seeded.decision_link import DecisionLink
+from jacinthcroft_daemon.internal.seeded.documents_copy import (
+    DocumentsCopy,
+    import_changes,
+)
+from jacinthcroft_daemon.internal.seeded.reader import PlatformReader
+from jacinthcroft_daemon.internal.seeded.wire import (
+    Kind,
+    pack,
+    pack_decision,
+    pack_poll,
+    pack_reply,
+    unpack_ask,
+    unpack_grant,
+    unpack_poll,
+    unpack_refusal,
+    unpack_reply,
+    unpack_report,
+)
+from jacinthcroft_daemon.internal.telemetry.events import log_event
+
+# Seconds between turns: a deciding VM has waiting requests to look after.
+LEADING_TICK_SECONDS: Final = 0.03
+TICK_SECONDS: Final = 0.06
+# Polls whose reply is still awaited; older ones are lost.
+MAX_POLLS_AWAITED: Final = 64
+# A copy that is fetched from another VM, in bytes and seconds at most.
+MAX_COPY_BYTES: Final = 16 * 1024 * 1024
+COPY_SECONDS: Final = 2.0
+# How old the copy gets before other VMs are asked to read, in seconds: one
+# call that was not answered.
+READERS_WANTED_SECONDS: Final = 1.2
+# How many are asked at a time, and for how long before others are, seconds.
+HELPERS: Final = 2
+HELPER_TURN_SECONDS: Final = 0.8
+COPY_PATH: Final = '/copy'
+_MILLIS: Final = 1000
+_GOOD_OUTCOMES: Final = frozenset((Outcome.SERVED, Outcome.ABANDONED))
+
+
+@define(eq=False)
+class FleetLink:
+    """This VM's part in the fleet."""
+
+    _leadership: Leadership
+    _decider: Decider
+    _datagrams: Datagrams
+    _copy: DocumentsCopy
+    _pool: ConnectionPool
+    link: DecisionLink = field(init=False)
+    reader: PlatformReader = field(init=False)
+    _polled_at: dict[int, float] = field(factory=dict)
+    _nonce: int = 0
+    _fetching: asyncio.Task[None] | None = None
+    _logged_role: tuple[Role, str | None] = (Role.SEEKING, None)
+    _introduced_to: str | None = None
+    _helpers: tuple[str, ...] = ()
+    _helpers_since: float = 0
+    _helper_turn: int = 0
+    _helper_poll_at: float = 0
+
+    def register(self) -> None:
+        """Registers the handlers of all datagrams."""
+        handlers = {
+            Kind.POLL: self._on_poll,
+            Kind.POLL_REPLY: self._on_reply,
+            Kind.ASK: self._on_ask,
+            Kind.GRANT: self._on_grant,
+            Kind.REFUSAL: self._on_refusal,
+            Kind.WAITING: self._on_waiting,
+            Kind.REPORT: self._on_report,
+            Kind.REDIRECT: self._on_redirect,
+            Kind.TAKE_OVER: self._on_take_over,
+        }
+        for kind, handler in handlers.items():
+            self._datagrams.on(kind, handler)
+
+    async def run(self) -> None:
+        """Takes turns until cancelled."""
+        while True:
+            self._turn()
+            pause = TICK_SECONDS
+            if self._leadership.followers.count:
+                pause = LEADING_TICK_SECONDS
+            await asyncio.sleep(pause)
+
+    def adopt(self) -> None:
+        """Takes in new documents."""
+        self._decider.adopt(self._copy.documents, now())
+        self._deliver_all(self._decider.tick(now()))
+
+    def deliver(self, decision: Decision) -> None:
+        """Hands a decision to the VM that asked."""
+        host = decision.key[0]
+        if host == self._leadership.me.host:
+            self.link.take(decision)
+        else:
+            self._datagrams.send(host, pack_decision(decision))
+
+    def resign(self) -> None:
+        """Hands over to another VM before this one leaves."""
+        successor = self._leadership.resign()
+        if successor is None:
+            return
+        log_event('info', 'leadership-handed-over', to=successor)
+        self._datagrams.send(successor, pack(Kind.TAKE_OVER))
+        self._note_role()
+
+    def _turn(self) -> None:
+        at = now()
+        leadership = self._leadership
+        for host in leadership.tick(at):
+            self._poll(host, wants_reader=False)
+        self._note_role()
+        for gone in leadership.followers.take_gone():
+            self._decider.drop_vm(gone)
+        if self._copy.tick():
+            self.adopt()
+        self._decider.share = leadership.followers.share(
+            at,
+            is_leading=leadership.is_leading,
+        )
+        self._deliver_all(self._decider.tick(at))
+        if leadership.is_leading:
+            self._seek_readers(at)
+
+    def _note_role(self) -> None:
+        leadership = self._leadership
+        role = (leadership.role, leadership.leader)
+        if role == self._logged_role:
+            return
+        self._logged_role = role
+        log_event(
+            'info',
+            'role',
+            role=leadership.role.value,
+            leader=leadership.leader or 'none',
+            followers=leadership.followers.count,
+        )
+        self.reader.wake()
+        if leadership.leader is not None:
+            self.link.ask_again()
+
+    def _seek_readers(self, at: float) -> None:
+        """Has other VMs read while the platform does not answer this one."""
+        if self._copy.state.age(at) < READERS_WANTED_SECONDS:
+            return
+        hosts = self._leadership.followers.hosts()
+        if not hosts or at < self._helper_poll_at:
+            return
+        self._helper_poll_at = at + HELPER_TURN_SECONDS / 4
+        if at > self._helpers_since + HELPER_TURN_SECONDS:
+            self._helpers_since = at
+            self._helper_turn += HELPERS
+            start = self._helper_turn % len(hosts)
+            self._helpers = (hosts + hosts)[start : start + HELPERS]
+            log_event(
+                'info',
+                'readers-asked',
+                hosts=','.join(self._helpers),
+                age=round(self._copy.state.age(at), 3),
+            )
+        for host in self._helpers:
+            self._poll(host, wants_reader=True)
+
+    def _poll(self, host: str, *, wants_reader: bool) -> None:
+        self._nonce += 1
+        self._polled_at[self._nonce] = now()
+        while len(self._polled_at) > MAX_POLLS_AWAITED:
+            self._polled_at.pop(next(iter(self._polled_at)))
+        leadership = self._leadership
+        is_following = host == leadership.leader
+        poll = PollMessage(
+            leadership.me,
+            leadership.is_leading,
+            is_following,
+            wants_reader,
+        )
+        running: list[Any] = []
+        if is_following:
+            running = self._list_sendings(host)
+        self._datagrams.send(
+            host,
+            pack(Kind.POLL, self._nonce, pack_poll(poll), running),
+        )
+
+    def _list_sendings(self, host: str) -> list[Any]:
+        """Lists what is under way, in full for a new deciding VM."""
+        sendings = self.link.sendings
+        if self._introduced_to == host:
+            return list(sendings)
+        at = now()
+        return [
+            [
+                number,
+                sending.ask.service,
+                sending.target_id,
+                int((at - sending.since) * _MILLIS),
+                int((sending.expires - at) * _MILLIS),
+            ]
+            for number, sending in sendings.items()
+        ]
+
+    def _on_poll(self, host: str, fields: list[Any]) -> None:
+        nonce, packed, running = fields
+        poll = unpack_poll(packed)
+        at = now()
+        self._leadership.hear_poll(poll, at)
+        if poll.wants_reader:
+            self.reader.read_on_behalf()
+        if poll.is_following:
+            self._take_running(host, running, at)
+        self._datagrams.send(
+            host,
+            pack(Kind.POLL_REPLY, nonce, pack_reply(self._make_reply(at))),
+        )
+
+    def _take_running(self, host: str, running: list[Any], at: float) -> None:
+        numbers: list[int] = []
+        for entry in running:
+            if isinstance(entry, int):
+                numbers.append(entry)
+                continue
+            number, service, target_id, since, left = entry
+            numbers.append(int(number))
+            ask = Ask(
+                vm=host,
+                number=int(number),
+                service=str(service),
+                team='',
+                is_repeatable=False,
+                attempt=1,
+                rank=0,
+                time_left=left / _MILLIS,
+                objective_left=0,
+            )
+            self._decider.adopt_running(ask, target_id, since / _MILLIS, at)
+        self._decider.keep_only(host, frozenset(numbers), at)
+
+    def _make_reply(self, at: float) -> PollReply:
+        leadership = self._leadership
+        followers = leadership.followers
+        return PollReply(
+            leadership.me,
+            leadership.is_leading,
+            leadership.is_leaving,
+            leadership.leader,
+            leadership.successors,
+            followers.fleet_size(at, is_leading=leadership.is_leading),
+            self._copy.state.version,
+            self._copy.state.age(at),
+        )
+
+    def _on_reply(self, host: str, fields: list[Any]) -> None:
+        nonce, packed = fields
+        reply = unpack_reply(packed)
+        polled_at = self._polled_at.pop(nonce, None)
+        if polled_at is None:
+            return
+        at = now()
+        self._leadership.hear_reply(reply, at)
+        if host == self._leadership.leader:
+            self._introduced_to = host
+            followers = self._leadership.followers
+            followers.hear_fleet_size(reply.fleet_size)
+        self._compare_copies(reply, polled_at)
+
+    def _compare_copies(self, reply: PollReply, polled_at: float) -> None:
+        state = self._copy.state
+        if reply.state_version > state.version:
+            self._fetch(reply.sender.host)
+        elif reply.state_version == state.version and state.version:
+            # Counted from before the question, so that a reply that was
+            # under way for long makes the copy no fresher than it is.
+            self._copy.confirm(polled_at - reply.state_age)
+
+    def _fetch(self, host: str) -> None:
+        if self._fetching is None or self._fetching.done():
+            loop = asyncio.get_running_loop()
+            self._fetching = loop.create_task(self._fetch_copy(host))
+
+    async def _fetch_copy(self, host: str) -> None:
+        version = self._copy.state.version
+        outcome = await self._pool.send(
+            OutgoingRequest(
+                host,
+                self._datagrams.port,
+                'GET',
+                f'{COPY_PATH}?after={version}',
+            ),
+            COPY_SECONDS,
+        )
+        if isinstance(outcome, (NothingSent, Interrupted)):
+            log_event('info', 'copy-failed', of=host, detail=outcome.detail)
+            return
+        try:
+            exported = await outcome.read(MAX_COPY_BYTES)
+            if not isinstance(exported, bytes):
+                raise ValueError(f'not whole: {exported}')
+            changes = import_changes(exported)
+        except (ValueError, BodyCut) as error:
+            log_event('warning', 'copy-failed', of=host, detail=str(error))
+            return
+        if self._copy.absorb(changes):
+            self.adopt()
+        # The next reply confirms it; until then the age is unchanged.
+        if self._leadership.leader == host:
+            self._poll(host, wants_reader=False)
+
+    def _on_ask(self, host: str, fields: list[Any]) -> None:
+        leadership = self._leadership
+        if leadership.is_leaving and not leadership.is_leading:
+            self._datagrams.send(
+                host,
+                pack(Kind.REDIRECT, leadership.leader),
+            )
+            return
+        ask = unpack_ask(host, fields)
+        zone = leadership.followers.zone_of(host)
+        decision = self._decider.decide(ask, zone, now())
+        if decision is None:
+            self._datagrams.send(host, pack(Kind.WAITING, ask.number))
+        else:
+            self._datagrams.send(host, pack_decision(decision))
+
+    def _on_grant(self, _: str, fields: list[Any]) -> None:
+        self.link.take(unpack_grant(self._leadership.me.host, fields))
+
+    def _on_refusal(self, _: str, fields: list[Any]) -> None:
+        self.link.take(unpack_refusal(self._leadership.me.host, fields))
+
+    def _on_waiting(self, _: str, fields: list[Any]) -> None:
+        self.link.note_waiting(int(fields[0]))
+
+    def _on_report(self, host: str, fields: list[Any]) -> None:
+        report = unpack_report(host, fields)
+        if report.outcome not in _GOOD_OUTCOMES:
+            log_event(
+                'info',
+                'target-report',
+                vm=host,
+                number=report.key[1],
+                outcome=report.outcome.name,
+                seconds=report.seconds,
+            )
+        self._deliver_all(self._decider.report(report, now()))
+
+    def _on_redirect(self, _: str, fields: list[Any]) -> None:
+        if fields[0] is not None:
+            self._leadership.redirect(str(fields[0]), now())
+            self._note_role()
+
+    def _on_take_over(self, host: str, _: list[Any]) -> None:
+        log_event('info', 'leadership-taken-over', of=host)
+        self._leadership.take_over(now())
+        self._note_role()
+
+    def _deliver_all(self, decisions: list[Decision]) -> None:
+        for decision in decisions:
+            self.deliver(decision)
--- /dev/null
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/sender.py
@@ -0,0 +1,195 @@
+"""One send of a request to one target, and what its answer is worth."""
+
+from collections.abc import AsyncIterator
+from typing import Final
+
+from attrs import define, frozen
+from jacinthcroft_decisions.dispatch import Grant, Outcome
+from jacinthcroft_http import (
+    Answer,
+    BodyCut,
+    ConnectionPool,
+    Headers,
+    IncomingRequest,
+    Interrupted,
+    NothingSent,
+    OutgoingRequest,
+    Response,
+    now,
+    strip_hop_by_hop,
+)
+
+from jacinthcroft_daemon.internal.seeded.admission import Admission, Admitted
+from jacinthcroft_daemon.internal.seeded.deployment import Dialect
+
+# Answers up to this size are read whole before the caller gets any of it, so
+# that one that breaks off can be had from another target.
+HELD_ANSWER_BYTES: Final = 4 * 1024 * 1024
+_MISDIRECTED: Final = 421
+_FIRST_FAILURE: Final = 500
+_SUCCESS: Final = range(200, 300)
+
+
+@frozen
+class SendResult:
+    """How a send ended, after how many seconds.
+
+    `may_have_run` is False only where the target says so or nothing left
+    this VM. `response` is what the caller may get of it.
+    """
+
+    outcome: Outcome
+    seconds: float
+    may_have_run: bool
+    detail: str
+    response: Response | None = None
+    target: str = ''
+
+
+@define(eq=False)
+class Sender:
+    """Sends admitted requests to granted targets."""
+
+    _pool: ConnectionPool
+    _dialect: Dialect
+    _admission: Admission
+
+    async def send(
+        self,
+        admitted: Admitted,
+        request: IncomingRequest,
+        body: bytes | AsyncIterator[bytes] | None,
+        grant: Grant,
+    ) -> SendResult:
+        """Sends once and reads the whole answer."""
+        begun = now()
+        outgoing = OutgoingRequest(
+            grant.host,
+            grant.port,
+            request.method,
+            request.target,
+            self._headers(admitted, request, grant),
+            body,
+            self._dialect.time_left,
+        )
+        outcome = await self._pool.send(
+            outgoing,
+            max(0, admitted.expires - begun),
+            lambda: self._admission.may_still_send(admitted),
+        )
+        if isinstance(outcome, NothingSent):
+            return self._judge_unsent(outcome, now() - begun)
+        if isinstance(outcome, Interrupted):
+            return _interrupted(outcome, now() - begun)
+        return await self._read(admitted, outcome, begun)
+
+    def _headers(
+        self,
+        admitted: Admitted,
+        request: IncomingRequest,
+        grant: Grant,
+    ) -> Headers:
+        dialect = self._dialect
+        headers = strip_hop_by_hop(request.headers).without(
+            'authorization',
+            dialect.time_left,
+            dialect.team,
+            dialect.expected_target,
+        )
+        added = [(dialect.expected_target, grant.target_id)]
+        if admitted.team is not None:
+            added.append((dialect.team, admitted.team.name))
+        return headers.with_added(*added)
+
+    def _judge_unsent(self, outcome: NothingSent, took: float) -> SendResult:
+        reported = Outcome.ABANDONED
+        if outcome.reason in {'connect-failed', 'connect-timeout', 'closed'}:
+            reported = Outcome.UNREACHABLE
+        detail = f'{outcome.reason}: {outcome.detail}'
+        return SendResult(reported, took, may_have_run=False, detail=detail)
+
+    async def _read(
+        self,
+        admitted: Admitted,
+        answer: Answer,
+        begun: float,
+    ) -> SendResult:
+        try:
+            body = await answer.read(HELD_ANSWER_BYTES)
+        except BodyCut as cut:
+            return _interrupted(cut.cause, now() - begun)
+        took = now() - begun
+        if isinstance(body, Interrupted):
+            return _interrupted(body, took)
+        if not isinstance(body, bytes):
+            return SendResult(
+                Outcome.BROKEN,
+                took,
+                may_have_run=True,
+                detail=f'answer over {HELD_ANSWER_BYTES} bytes',
+            )
+        return self._judge(admitted, answer, body, took)
+
+    def _judge(
+        self,
+        admitted: Admitted,
+        answer: Answer,
+        body: bytes,
+        took: float,
+    ) -> SendResult:
+        headers = answer.headers
+        if answer.status == _MISDIRECTED:
+            return SendResult(
+                Outcome.MISPLACED,
+                took,
+                may_have_run=False,
+                detail='another target has the address',
+            )
+        if headers.get(self._dialect.not_run) is not None:
+            return SendResult(
+                Outcome.SHED,
+                took,
+                may_have_run=False,
+                detail=f'target did not run it ({answer.status})',
+            )
+        fault = self._find_fault(admitted, answer)
+        if fault is not None:
+            return SendResult(
+                Outcome.BROKEN,
+                took,
+                may_have_run=True,
+                detail=fault,
+            )
+        is_failure = answer.status >= _FIRST_FAILURE
+        return SendResult(
+            Outcome.ERROR if is_failure else Outcome.SERVED,
+            took,
+            may_have_run=True,
+            detail=f'status {answer.status}',
+            response=Response(
+                answer.status,
+                strip_hop_by_hop(headers),
+                body,
+            ),
+        )
+
+    def _find_fault(self, admitted: Admitted, answer: Answer) -> str | None:
+        headers = answer.headers
+        echoed = headers.get(self._dialect.request_id)
+        if echoed != admitted.request_id:
+            return f'answer to another request ({echoed})'
+        if headers.get(self._dialect.signature) is None:
+            return 'answer without signature'
+        if headers.get('content-encoding') is not None:
+            return 'answer in an encoding that nobody asked for'
+        return None
+
+
+def _interrupted(outcome: Interrupted, took: float) -> SendResult:
+    is_silent = outcome.reason == 'timeout'
+    return SendResult(
+        Outcome.SILENT if is_silent else Outcome.BROKEN,
+        took,
+        may_have_run=True,
+        detail=f'{outcome.reason}: {outcome.detail}',
+    )
--- /dev/null
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/vm.py
@@ -0,0 +1,250 @@
+"""One VM of a seeded fleet: builds its parts, runs them, stops gracefully."""
+
+import asyncio
+import itertools
+import random
+from typing import Any, Final, Self
+
+from attrs import define, field
+from jacinthcroft_decisions.dispatch import Decider
+from jacinthcroft_decisions.membership import Leadership, Peer
+from jacinthcroft_http import (
+    BadRequest,
+    ConnectionPool,
+    IncomingRequest,
+    PoolLimits,
+    Response,
+    Server,
+    ServerLimits,
+)
+
+from jacinthcroft_daemon.internal.pipeline.refusals import (
+    Outcome,
+    Reason,
+    Refusal,
+    refusal_response,
+)
+from jacinthcroft_daemon.internal.seeded.admission import Admission
+from jacinthcroft_daemon.internal.seeded.datagrams import Datagrams
+from jacinthcroft_daemon.internal.seeded.decision_link import DecisionLink
+from jacinthcroft_daemon.internal.seeded.deployment import (
+    Deployment,
+    SeededSettings,
+)
+from jacinthcroft_daemon.internal.seeded.documents_copy import DocumentsCopy
+from jacinthcroft_daemon.internal.seeded.fleet_link import (
+    COPY_PATH,
+    FleetLink,
+)
+from jacinthcroft_daemon.internal.seeded.reader import PlatformReader
+from jacinthcroft_daemon.internal.seeded.request_flow import RequestFlow
+from jacinthcroft_daemon.internal.seeded.sender import Sender
+from jacinthcroft_daemon.internal.telemetry.events import log_event
+
+# Connections to targets: kept for less than targets keep theirs, and opened
+# within a few round trips or not at all; in seconds.
+TARGET_POOL: Final = PoolLimits(
+    max_idle_per_address=4,
+    idle_timeout=7.5,
+    connect_timeout=0.3,
+)
+PEER_POOL: Final = PoolLimits(connect_timeout=0.5)
+# Callers are given longer than any configuration lets them idle, seconds.
+CALLER_IDLE_SECONDS: Final = 75.0
+MAX_HEAD_BYTES: Final = 65536
+# Between the signal to stop and closing the port, in seconds: until the
+# entry has seen that this VM is not ready, with two questions a second apart.
+NOTICE_SECONDS: Final = 2.6
+# Left of the grace for closing, in seconds.
+CLOSING_SECONDS: Final = 0.5
+_OK: Final = 200
+_NOT_READY: Final = 503
+_NOT_FOUND: Final = 404
+_BAD_REQUEST: Final = 400
+_NUMBER_BITS: Final = 30
+
+
+@define(eq=False)
+class SeededVm:
+    """The process on one VM."""
+
+    _settings: SeededSettings
+    _copy: DocumentsCopy
+    _leadership: Leadership
+    _fleet: FleetLink
+    _datagrams: Datagrams
+    _pools: tuple[ConnectionPool, ...]
+    _flow: RequestFlow
+    _is_stopping: bool = False
+    _servers: dict[str, Server] = field(factory=dict)
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: SeededSettings,
+        deployment: Deployment,
+        source: random.Random,
+    ) -> Self:
+        """Builds all parts; nothing runs yet."""
+        me = Peer(
+            settings.host,
+            settings.zone,
+            source.getrandbits(_NUMBER_BITS),
+            (-settings.room, _spread(settings.host)),
+        )
+        leadership = Leadership(me, settings.seeds)
+        decider = Decider.from_terms(settings.terms)
+        documents = DocumentsCopy(
+            deployment.translator,
+            settings.terms.revoke_seconds,
+        )
+        datagrams = Datagrams.from_port(settings.peer_port)
+        peer_pool = ConnectionPool.from_limits(PEER_POOL)
+        target_pool = ConnectionPool.from_limits(TARGET_POOL)
+        fleet = FleetLink(
+            leadership,
+            decider,
+            datagrams,
+            documents,
+            peer_pool,
+        )
+        fleet.link = DecisionLink(
+            decider,
+            leadership,
+            datagrams,
+            settings.zone,
+            itertools.count(source.getrandbits(_NUMBER_BITS)),
+            fleet.deliver,
+        )
+        fleet.reader = PlatformReader(
+            deployment.store,
+            documents,
+            lambda: leadership.is_leading,
+            fleet.adopt,
+        )
+        fleet.register()
+        admission = Admission(
+            documents,
+            deployment.dialect,
+            source,
+            settings.fails_closed,
+        )
+        sender = Sender(target_pool, deployment.dialect, admission)
+        flow = RequestFlow(admission, fleet.link, sender, settings.host)
+        return cls(
+            settings,
+            documents,
+            leadership,
+            fleet,
+            datagrams,
+            (peer_pool, target_pool),
+            flow,
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should come to this VM."""
+        if self._is_stopping or self._copy.configuration is None:
+            return False
+        if self._leadership.leader is None:
+            return False
+        return self._copy.is_fresh or not self._settings.fails_closed
+
+    async def run(self, stopping: asyncio.Event) -> None:
+        """Serves until told to stop, then stops without cutting requests."""
+        await self._start()
+        loops = [
+            asyncio.create_task(self._fleet.run()),
+            asyncio.create_task(self._fleet.reader.run()),
+        ]
+        stop = asyncio.create_task(stopping.wait())
+        try:
+            done, _ = await asyncio.wait(
+                (stop, *loops),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for finished in done:
+                # A loop never ends by itself: its error is a broken
+                # invariant, and stops the process.
+                finished.result()
+            await self._drain()
+        finally:
+            for loop in (stop, *loops):
+                loop.cancel()
+            self._datagrams.close()
+            for pool in self._pools:
+                await pool.close()
+
+    async def _start(self) -> None:
+        settings = self._settings
+        await self._datagrams.start(settings.host)
+        ports: tuple[tuple[str, Any, str, int], ...] = (
+            ('peers', self._answer_peer, settings.host, settings.peer_port),
+            (
+                'ready',
+                self._answer_ready,
+                settings.ready.host,
+                settings.ready.port,
+            ),
+            (
+                'callers',
+                self._flow.serve,
+                settings.callers.host,
+                settings.callers.port,
+            ),
+        )
+        limits = ServerLimits(
+            max_head_bytes=MAX_HEAD_BYTES,
+            keep_alive_timeout=CALLER_IDLE_SECONDS,
+        )
+        for name, handler, host, port in ports:
+            server = Server.from_limits(limits, handler, _refuse_unreadable)
+            await server.start(host, port)
+            self._servers[name] = server
+        log_event(
+            'info',
+            'started',
+            vm=settings.name,
+            zone=settings.zone,
+            seeds=','.join(settings.seeds),
+        )
+
+    async def _drain(self) -> None:
+        grace = self._settings.grace_seconds
+        log_event('info', 'stopping', vm=self._settings.name, grace=grace)
+        self._is_stopping = True
+        callers = self._servers['callers']
+        callers.stop_keep_alive()
+        self._fleet.resign()
+        notice = min(NOTICE_SECONDS, grace / 2)
+        await asyncio.sleep(notice)
+        cut = await callers.drain(grace - notice - CLOSING_SECONDS)
+        log_event('info', 'stopped', vm=self._settings.name, cut=cut)
+
+    async def _answer_ready(self, _: IncomingRequest) -> Response:
+        return Response(_OK if self.is_ready else _NOT_READY)
+
+    async def _answer_peer(self, request: IncomingRequest) -> Response:
+        if request.path != COPY_PATH:
+            return Response(_NOT_FOUND)
+        _, _, after = request.query.partition('=')
+        if not after.isdigit():
+            return Response.text(_BAD_REQUEST, f'after={after!r}: a number\n')
+        return Response(_OK, body=self._copy.export(int(after)))
+
+
+def _spread(host: str) -> int:
+    # Any fixed order does that does not follow the order of the addresses.
+    return random.Random(host).getrandbits(_NUMBER_BITS)
+
+
+def _refuse_unreadable(fault: BadRequest) -> Response:
+    reasons = {
+        'conflicting-length': Reason.CONFLICTING_LENGTH,
+        'head-too-large': Reason.HEAD_TOO_LARGE,
+        'head-timeout': Reason.HEAD_TIMEOUT,
+    }
+    reason = reasons.get(fault.reason, Reason.MALFORMED_REQUEST)
+    log_event('info', 'unreadable', reason=fault.reason, detail=fault.detail)
+    refusal = Refusal(reason, Outcome.NOT_RUN, fault.detail)
+    return refusal_response(refusal, '')
--- a/packages/daemon/src/jacinthcroft_daemon/internal/sharing/held_cells.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/sharing/held_cells.py
@@ -35,7 +35,8 @@
     CoordinationService,
 )
 from jacinthcroft_daemon.internal.sharing.probes import ProbeAnswer, Prober
-from jacinthcroft_daemon.internal.telemetry import Count, Metrics, log_event
+from jacinthcroft_daemon.internal.telemetry import Count, log_event
+from jacinthcroft_daemon.internal.telemetry.metrics import Metrics
 
 ASK_KIND: Final = 'permit'
 REPORT_KIND: Final = 'reports'
--- a/packages/daemon/src/jacinthcroft_daemon/internal/telemetry/__init__.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/telemetry/__init__.py
@@ -2,6 +2,8 @@
 
 None of them ever holds a caller's key or data: events refuse fields under
 such names, metrics know teams and classes only, traces request ids.
+The metrics are imported from their own module: OpenTelemetry takes longer to
+load than a restarted VM may be away.
 """
 
 from jacinthcroft_daemon.internal.telemetry.counts import Count
@@ -13,10 +15,6 @@
     LineFormatter,
     set_up_logging,
 )
-from jacinthcroft_daemon.internal.telemetry.metrics import (
-    Metrics,
-    VmGauges,
-)
 from jacinthcroft_daemon.internal.telemetry.repeats import (
     Admission,
     RepeatLimiter,
@@ -33,10 +31,8 @@
     'Count',
     'Level',
     'LineFormatter',
-    'Metrics',
     'RepeatLimiter',
     'RepeatLog',
-    'VmGauges',
     'Suppression',
     'TraceBook',
     'TraceEvent',
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/dispatch.py
@@ -0,0 +1,43 @@
+"""Placing, queueing, refusing: the decisions of a fleet without a VM list."""
+
+from jacinthcroft_decisions.internal.dispatch.decider import Decider
+from jacinthcroft_decisions.internal.dispatch.documents import (
+    CallerLimits,
+    Configuration,
+    FleetDocuments,
+    Route,
+    ServiceTerms,
+    TargetEntry,
+    TeamTerms,
+)
+from jacinthcroft_decisions.internal.dispatch.messages import (
+    Ask,
+    AskKey,
+    Decision,
+    Grant,
+    Outcome,
+    Refusal,
+    RefusalReason,
+    Report,
+)
+from jacinthcroft_decisions.internal.dispatch.terms import DispatchTerms
+
+__all__ = (
+    'Ask',
+    'AskKey',
+    'CallerLimits',
+    'Configuration',
+    'Decider',
+    'Decision',
+    'DispatchTerms',
+    'FleetDocuments',
+    'Grant',
+    'Outcome',
+    'Refusal',
+    'RefusalReason',
+    'Report',
+    'Route',
+    'ServiceTerms',
+    'TargetEntry',
+    'TeamTerms',
+)
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/placement.py
@@ -0,0 +1,119 @@
+"""Which target a request goes to.
+
+Load answered: about a third of a service's targets fail most of what they
+get, by hanging, while their health check is good. A request that may run
+only once goes where the last answer was good; one that may be repeated finds
+out whether a doubtful target is well again.
+"""
+
+from collections.abc import Iterable
+from typing import Final
+
+from attrs import frozen
+
+from jacinthcroft_decisions.internal.dispatch.messages import Ask
+from jacinthcroft_decisions.internal.dispatch.target_record import (
+    Standing,
+    TargetRecord,
+)
+
+# Parts of the time to the objective after which a request that may run only
+# once takes a doubtful target, or one that is left alone, over waiting on.
+DOUBTFUL_AFTER: Final = 0.35
+AVOIDED_AFTER: Final = 0.7
+
+# Costs that are compared between targets of the same standing: another
+# running request, a new connection, another zone, and each MiB of body sent
+# to another zone.
+RUNNING_COST: Final = 1.0
+CONNECT_COST: Final = 1.2
+ZONE_COST: Final = 0.15
+ZONE_BODY_COST_PER_MIB: Final = 16.0
+COLD_COST: Final = 2.0
+_MIB: Final = 1048576
+
+
+@frozen
+class Requester:
+    """Who asks, for how long already, in seconds, and from which zone."""
+
+    ask: Ask
+    zone: str
+    waited: float
+
+
+@frozen
+class ServiceNorm:
+    """What is usual for a service: mean latency and when it is a hang."""
+
+    mean_seconds: float
+    hang_seconds: float
+
+
+def choose_target(
+    requester: Requester,
+    candidates: Iterable[TargetRecord],
+    norm: ServiceNorm,
+    now: float,
+) -> TargetRecord | None:
+    """Returns the target to send to, or None to wait.
+
+    The candidates have a free slot and may get the request.
+    """
+    best: TargetRecord | None = None
+    best_cost: tuple[int, float, float] | None = None
+    worst = worst_standing(requester)
+    for record in candidates:
+        standing = record.standing(now, norm.hang_seconds, norm.mean_seconds)
+        if standing > worst:
+            continue
+        cost = (
+            _preference(requester.ask, standing, record),
+            _cost(requester, record, norm, now),
+            record.last_used,
+        )
+        if best_cost is None or cost < best_cost:
+            best = record
+            best_cost = cost
+    return best
+
+
+def worst_standing(requester: Requester) -> Standing:
+    """Returns how doubtful a target the request may go to by now."""
+    ask = requester.ask
+    if ask.is_repeatable and ask.attempt == 1 and ask.excluded == ():
+        return Standing.DOUBTFUL
+    total = requester.waited + max(0, ask.objective_left)
+    if requester.waited >= AVOIDED_AFTER * total:
+        return Standing.AVOIDED
+    if requester.waited >= DOUBTFUL_AFTER * total:
+        return Standing.DOUBTFUL
+    return Standing.UNKNOWN
+
+
+def _preference(ask: Ask, standing: Standing, record: TargetRecord) -> int:
+    is_first = ask.is_repeatable and ask.attempt == 1
+    if is_first and standing is Standing.DOUBTFUL and not record.running:
+        # The second send, to a proven target, still meets the objective.
+        return -1
+    return int(standing)
+
+
+def _cost(
+    requester: Requester,
+    record: TargetRecord,
+    norm: ServiceNorm,
+    now: float,
+) -> float:
+    ask = requester.ask
+    cost = len(record.running) * RUNNING_COST
+    if not record.is_connected_to(ask.vm, now):
+        cost += CONNECT_COST
+    if record.entry.zone != requester.zone:
+        cost += ZONE_COST
+        cost += ask.body_bytes / _MIB * ZONE_BODY_COST_PER_MIB
+    if record.is_cold(now):
+        cost += COLD_COST
+    if record.mean_latency is not None:
+        cost += record.mean_latency / norm.mean_seconds
+    return cost
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/service_board.py
@@ -0,0 +1,143 @@
+"""One service's targets, its queue and its repeated sends."""
+
+from collections.abc import Iterable
+from typing import Final
+
+from attrs import define, field
+
+from jacinthcroft_decisions.internal.dispatch.cold_allowance import (
+    ColdAllowance,
+)
+from jacinthcroft_decisions.internal.dispatch.documents import (
+    ServiceTerms,
+    TargetEntry,
+)
+from jacinthcroft_decisions.internal.dispatch.messages import Ask, AskKey
+from jacinthcroft_decisions.internal.dispatch.placement import (
+    Requester,
+    ServiceNorm,
+    choose_target,
+)
+from jacinthcroft_decisions.internal.dispatch.target_record import (
+    Standing,
+    TargetRecord,
+)
+from jacinthcroft_decisions.internal.dispatch.wait_queue import WaitQueue
+from jacinthcroft_decisions.internal.traffic.retry_budget import RetryBudget
+
+# Mean latency that a service starts with, in seconds.
+STARTING_MEAN_SECONDS: Final = 0.2
+# Weight of the newest latency in the mean.
+MEAN_WEIGHT: Final = 0.02
+# A request that runs this many times the mean is taken to hang; within the
+# bounds below, in seconds.
+HANG_FACTOR: Final = 2.2
+MIN_HANG_SECONDS: Final = 0.2
+MAX_HANG_SECONDS: Final = 1.0
+# Targets that are missing from the list keep their record for so long, in
+# seconds, since their entry may only have lapsed.
+FORGET_SECONDS: Final = 10.0
+
+
+@define
+class ServiceBoard:
+    """What the deciding VM knows of a service."""
+
+    terms: ServiceTerms
+    budget: RetryBudget
+    queue: WaitQueue = field(factory=WaitQueue)
+    records: dict[str, TargetRecord] = field(factory=dict)
+    _usable: set[str] = field(factory=set)
+    _cold: dict[str, ColdAllowance] = field(factory=dict)
+    _mean: float = STARTING_MEAN_SECONDS
+
+    @property
+    def norm(self) -> ServiceNorm:
+        """What is usual for the service's requests."""
+        hang = min(MAX_HANG_SECONDS, HANG_FACTOR * self._mean)
+        return ServiceNorm(self._mean, max(MIN_HANG_SECONDS, hang))
+
+    @property
+    def usable(self) -> Iterable[TargetRecord]:
+        """The targets that may get requests."""
+        return [self.records[target] for target in self._usable]
+
+    def adopt(self, entries: Iterable[TargetEntry], now: float) -> None:
+        """Takes the targets that may get requests from now on."""
+        self._usable = set()
+        for entry in entries:
+            self._usable.add(entry.target_id)
+            record = self.records.get(entry.target_id)
+            if record is None or record.entry.born != entry.born:
+                cold_until = now + entry.cold_left
+                self.records[entry.target_id] = TargetRecord(entry, cold_until)
+                self._cold.pop(entry.target_id, None)
+            elif record.entry != entry:
+                record.entry = entry
+                record.cold_until = now + entry.cold_left
+        for target in list(self.records):
+            self._forget_if_gone(target, now)
+
+    def usable_slots(self, now: float) -> int:
+        """Returns the slots of targets that are not left alone."""
+        norm = self.norm
+        return sum(
+            record.entry.slots
+            for record in self.usable
+            if record.standing(now, norm.hang_seconds, norm.mean_seconds)
+            <= Standing.UNKNOWN
+        )
+
+    def choose(
+        self,
+        requester: Requester,
+        share: float,
+        now: float,
+    ) -> TargetRecord | None:
+        """Returns the target for a request, or None to wait."""
+        ask = requester.ask
+        candidates = [
+            record
+            for record in self.usable
+            if self._may_get(record, ask, share, now)
+        ]
+        return choose_target(requester, candidates, self.norm, now)
+
+    def start(self, record: TargetRecord, key: AskKey, now: float) -> None:
+        """Counts a request that is sent to a target."""
+        record.start(key, now)
+        if record.is_cold(now):
+            self._allowance(record).note_sent()
+
+    def take_latency(self, seconds: float) -> None:
+        """Takes an answer's latency into the mean."""
+        self._mean += (seconds - self._mean) * MEAN_WEIGHT
+
+    def _may_get(
+        self,
+        record: TargetRecord,
+        ask: Ask,
+        share: float,
+        now: float,
+    ) -> bool:
+        if len(record.running) >= record.entry.slots:
+            return False
+        if record.entry.target_id in ask.excluded:
+            return False
+        if not record.has_path_from(ask.vm, now):
+            return False
+        if not record.is_cold(now):
+            return True
+        allowance = self._allowance(record)
+        return allowance.may_send(now, self.terms.cold_rate, share)
+
+    def _allowance(self, record: TargetRecord) -> ColdAllowance:
+        return self._cold.setdefault(record.entry.target_id, ColdAllowance())
+
+    def _forget_if_gone(self, target: str, now: float) -> None:
+        if target in self._usable:
+            return
+        record = self.records[target]
+        if not record.running and now > record.last_used + FORGET_SECONDS:
+            self.records.pop(target)
+            self._cold.pop(target, None)
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/target_record.py
@@ -0,0 +1,158 @@
+"""What the deciding VM knows of one target from the fleet's own requests."""
+
+import enum
+import math
+from typing import Final
+
+from attrs import define, field
+
+from jacinthcroft_decisions.internal.dispatch.documents import TargetEntry
+from jacinthcroft_decisions.internal.dispatch.messages import (
+    AskKey,
+    Outcome,
+)
+
+# How long a target that failed is left alone, in seconds; gray failures last
+# for some seconds, so an earlier request would mostly meet the same one.
+AVOID_SECONDS: Final = 1.5
+# Repeated failures double it up to this many seconds.
+MAX_AVOID_SECONDS: Final = 6.0
+# One error status is an ordinary answer; this many in a row are a sign.
+ERRORS_IN_A_ROW: Final = 2
+# Weight of the newest latency in a target's mean.
+LATENCY_WEIGHT: Final = 0.2
+# A target this many times slower than its service's mean is doubtful.
+SLOW_FACTOR: Final = 2.5
+# A path that failed is left alone for so long, in seconds, per VM.
+PATH_AVOID_SECONDS: Final = 4.0
+# Connections are taken to be open for so long after their last use, in
+# seconds; shorter than the idle timeouts that targets announce.
+CONNECTED_SECONDS: Final = 7.0
+
+# So many VMs without a path make it the target's fault.
+PATHS_AGAINST_TARGET: Final = 3
+
+_TROUBLES: Final = frozenset((Outcome.BROKEN, Outcome.SILENT))
+
+
+class Standing(enum.IntEnum):
+    """How far a target is trusted, best first."""
+
+    PROVEN = 0
+    UNKNOWN = 1
+    DOUBTFUL = 2
+    AVOIDED = 3
+
+
+@define
+class TargetRecord:
+    """A target's load and evidence; times on the deciding VM's clock."""
+
+    entry: TargetEntry
+    cold_until: float
+    running: dict[AskKey, float] = field(factory=dict)
+    paths: dict[str, float] = field(factory=dict)
+    blocked_paths: dict[str, float] = field(factory=dict)
+    mean_latency: float | None = None
+    last_used: float = -math.inf
+    served_at: float = -math.inf
+    _trouble_at: float = -math.inf
+    _avoid_seconds: float = AVOID_SECONDS
+    _errors: int = 0
+
+    def is_cold(self, now: float) -> bool:
+        """Whether the target still warms up."""
+        return now < self.cold_until
+
+    def oldest_running(self, now: float) -> float:
+        """Returns the age of its oldest running request, in seconds."""
+        if not self.running:
+            return 0
+        return now - min(self.running.values())
+
+    def standing(
+        self,
+        now: float,
+        hang_seconds: float,
+        service_mean: float,
+    ) -> Standing:
+        """Judges the target by its last answers and what is under way."""
+        if now < self._trouble_at + self._avoid_seconds:
+            return Standing.AVOIDED
+        if self.oldest_running(now) > hang_seconds:
+            return Standing.DOUBTFUL
+        if self._trouble_at > self.served_at:
+            return Standing.DOUBTFUL
+        if self.mean_latency is None:
+            return Standing.UNKNOWN
+        if self.mean_latency > SLOW_FACTOR * service_mean:
+            return Standing.DOUBTFUL
+        return Standing.PROVEN
+
+    def has_path_from(self, vm: str, now: float) -> bool:
+        """Whether nothing speaks against sending from a VM."""
+        return now >= self.blocked_paths.get(vm, -math.inf)
+
+    def is_connected_to(self, vm: str, now: float) -> bool:
+        """Whether the VM probably holds an idle connection to it."""
+        return now < self.paths.get(vm, -math.inf) + CONNECTED_SECONDS
+
+    def start(self, key: AskKey, now: float) -> None:
+        """Counts a request that is sent."""
+        self.running[key] = now
+        self.last_used = now
+
+    def finish(
+        self,
+        key: AskKey,
+        outcome: Outcome,
+        seconds: float,
+        now: float,
+    ) -> None:
+        """Takes in how a send ended."""
+        started = self.running.pop(key, now)
+        vm = key[0]
+        if outcome is Outcome.SERVED:
+            self._take_success(vm, seconds, now)
+        elif outcome is Outcome.ERROR:
+            self.paths[vm] = now
+            self._errors += 1
+            if self._errors >= ERRORS_IN_A_ROW:
+                self._take_trouble(now)
+        elif outcome in _TROUBLES:
+            self.paths.pop(vm, None)
+            if self.served_at <= started or outcome is Outcome.BROKEN:
+                self._take_trouble(now)
+        elif outcome is Outcome.UNREACHABLE:
+            self._block_path(vm, now)
+        elif outcome is Outcome.SHED:
+            self.paths[vm] = now
+
+    def _take_success(self, vm: str, seconds: float, now: float) -> None:
+        self._errors = 0
+        self.paths[vm] = now
+        self.served_at = now
+        self._avoid_seconds = AVOID_SECONDS
+        if self.mean_latency is None:
+            self.mean_latency = seconds
+        else:
+            step = (seconds - self.mean_latency) * LATENCY_WEIGHT
+            self.mean_latency += step
+
+    def _take_trouble(self, now: float) -> None:
+        if self._trouble_at > self.served_at:
+            doubled = self._avoid_seconds * 2
+            self._avoid_seconds = min(MAX_AVOID_SECONDS, doubled)
+        self._trouble_at = now
+
+    def _block_path(self, vm: str, now: float) -> None:
+        self.paths.pop(vm, None)
+        self.blocked_paths = {
+            other: until
+            for other, until in self.blocked_paths.items()
+            if until > now
+        }
+        self.blocked_paths[vm] = now + PATH_AVOID_SECONDS
+        # Several VMs that cannot reach it speak against the target itself.
+        if len(self.blocked_paths) >= PATHS_AGAINST_TARGET:
+            self._take_trouble(now)
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/terms.py
@@ -0,0 +1,28 @@
+"""The bounds that the fleet keeps together, as its deployment states them."""
+
+from typing import Self
+
+from attrs import frozen
+
+
+@frozen
+class DispatchTerms:
+    """Shared bounds; times in seconds.
+
+    `retry_ratio` and `retry_slack` bound repeated sends of a service in any
+    `retry_window`; `cold_factor` and `cold_slack` the requests that a cold
+    target gets in any second.
+    """
+
+    retry_ratio: float = 0.2
+    retry_slack: float = 20.0
+    retry_window: float = 10.0
+    cold_factor: float = 1.0
+    cold_slack: float = 1.0
+    # Keyed work stops when a key's withdrawal could be unknown for so long.
+    revoke_seconds: float = 5.0
+
+    @classmethod
+    def standard(cls) -> Self:
+        """Returns terms that suit a deployment that states none."""
+        return cls()
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/membership/leadership.py
@@ -0,0 +1,289 @@
+"""Which VM decides for this one.
+
+The role is advisory: two deciding VMs at once cost efficiency, never a
+promise. So there is no vote. A VM follows whoever says that it leads; when
+nobody does, the best-ranked one that can be reached begins to.
+"""
+
+import enum
+import math
+from typing import Final
+
+from attrs import define, field
+
+from jacinthcroft_decisions.internal.membership.followers import Followers
+from jacinthcroft_decisions.internal.membership.peers import (
+    Peer,
+    Poll,
+    PollReply,
+)
+
+# Seconds between polls of the VM that is followed; a configuration has to
+# arrive well within two seconds.
+POLL_SECONDS: Final = 0.4
+# A leader that has not replied for so long is given up, in seconds.
+SILENT_SECONDS: Final = 1.3
+# The same when its decisions do not come either.
+SUSPECT_SECONDS: Final = 0.3
+# Seconds between polls while no leader is known.
+SEEK_SECONDS: Final = 0.12
+# How long the best-ranked reachable VM waits for a leader to show, in
+# seconds: two polls. After its start a VM gives the seeds time to start too.
+CLAIM_SECONDS: Final = 0.35
+CLAIM_AT_START_SECONDS: Final = 0.9
+# How long others wait for a better-ranked VM to claim, in seconds.
+CLAIM_ANYWAY_SECONDS: Final = 2.0
+# A leader that is only unreachable from here: follow who still hears it.
+PROXY_SECONDS: Final = 0.5
+# Seconds between a leader's polls of VMs that may lead others.
+MERGE_SECONDS: Final = 1.0
+# A gap of this length between two turns means that the VM stood still.
+FROZEN_SECONDS: Final = 1.0
+# Hosts that are remembered to find others by.
+MAX_KNOWN: Final = 64
+# How many VMs are asked at a time while seeking.
+SEEK_WIDTH: Final = 4
+
+
+class Role(enum.Enum):
+    """What a VM does for decisions."""
+
+    SEEKING = 'seeking'
+    FOLLOWING = 'following'
+    LEADING = 'leading'
+
+
+@define
+class Leadership:
+    """The role of one VM; times on its own clock."""
+
+    me: Peer
+    seeds: tuple[str, ...]
+    role: Role = Role.SEEKING
+    leader: str | None = None
+    followers: Followers = field(factory=Followers)
+    is_leaving: bool = False
+    _successors: tuple[str, ...] = ()
+    _known: dict[str, float] = field(factory=dict)
+    _seeking_since: float | None = None
+    _is_first_search: bool = True
+    _heard_at: float = -math.inf
+    _suspected: str | None = None
+    _better_at: float = -math.inf
+    _proxy: str | None = None
+    _next_poll: float = 0
+    _turn: int = 0
+    _last_tick: float | None = None
+
+    @property
+    def is_leading(self) -> bool:
+        """Whether this VM decides for those that follow it."""
+        return self.role is Role.LEADING
+
+    @property
+    def successors(self) -> tuple[str, ...]:
+        """Returns who takes over next, best first."""
+        if self.is_leading:
+            return self.followers.best_hosts()
+        return self._successors
+
+    def tick(self, now: float) -> tuple[str, ...]:
+        """Returns the hosts to poll now."""
+        self._notice_freeze(now)
+        self.followers.drop_silent(now)
+        if self.role is Role.FOLLOWING:
+            self._check_leader(now)
+        if self.role is Role.SEEKING:
+            self._try_claim(now)
+        if now < self._next_poll:
+            return ()
+        return self._due_polls(now)
+
+    def suspect(self, now: float) -> None:
+        """Notes that the leader's decisions do not come."""
+        silent = now - self._heard_at
+        if self.role is Role.FOLLOWING and silent > SUSPECT_SECONDS:
+            self._seek(now)
+            self._next_poll = now
+
+    def hear_poll(self, poll: Poll, now: float) -> None:
+        """Takes in a poll of another VM."""
+        sender = poll.sender
+        self._know(sender.host, now)
+        if poll.is_following:
+            self.followers.hear(sender, now)
+        else:
+            self.followers.discard(sender.host)
+        if poll.is_leading and self.role is Role.SEEKING:
+            self._follow(sender.host, now)
+        elif poll.is_leading and self._should_yield_to(sender):
+            self._follow(sender.host, now)
+
+    def hear_reply(self, reply: PollReply, now: float) -> None:
+        """Takes in what a polled VM said."""
+        host = reply.sender.host
+        self._know(host, now)
+        if self.role is Role.LEADING:
+            if reply.is_leading and self._should_yield_to(reply.sender):
+                self._follow(host, now)
+            elif reply.leader not in {None, self.me.host}:
+                self._know(str(reply.leader), now)
+        elif self.role is Role.FOLLOWING:
+            self._hear_while_following(reply, now)
+        else:
+            self._hear_while_seeking(reply, now)
+
+    def take_over(self, now: float) -> None:
+        """Begins to lead because the leader is leaving."""
+        if not self.is_leaving:
+            self._lead(now)
+
+    def resign(self) -> str | None:
+        """Stops leading for good; returns who should take over."""
+        successors = self.successors
+        self.is_leaving = True
+        if self.is_leading and successors:
+            self.role = Role.FOLLOWING
+            self.leader = successors[0]
+            self._heard_at = math.inf
+            return successors[0]
+        return None
+
+    def redirect(self, host: str, now: float) -> None:
+        """Follows the VM that a leaving leader named."""
+        if host == self.me.host:
+            self.take_over(now)
+        elif self.role is not Role.LEADING:
+            self._follow(host, now)
+
+    def _should_yield_to(self, other: Peer) -> bool:
+        return self.role is Role.LEADING and other.rank < self.me.rank
+
+    def _hear_while_following(self, reply: PollReply, now: float) -> None:
+        if reply.sender.host != self.leader:
+            return
+        is_proxy = reply.leader not in {None, reply.sender.host}
+        if reply.is_leading or (is_proxy and self._proxy == self.leader):
+            self._heard_at = now
+            self._successors = tuple(
+                host for host in reply.successors if host != self.me.host
+            )
+            if is_proxy:
+                self._know(str(reply.leader), now)
+            return
+        self._suspected = None
+        if reply.leader not in {None, self.me.host, self.leader}:
+            self._follow(str(reply.leader), now)
+        else:
+            self._seek(now)
+
+    def _hear_while_seeking(self, reply: PollReply, now: float) -> None:
+        if reply.is_leading:
+            self._follow(reply.sender.host, now)
+            return
+        if reply.leader in {None, self.me.host}:
+            if reply.sender.rank < self.me.rank and not reply.is_leaving:
+                self._better_at = now
+            return
+        self._know(str(reply.leader), now)
+        is_suspect = reply.leader == self._suspected
+        if is_suspect and now > self._since(now) + PROXY_SECONDS:
+            # It still hears a leader that cannot be reached from here.
+            self._follow(reply.sender.host, now)
+            self._proxy = reply.sender.host
+        elif not is_suspect:
+            self._successors = (str(reply.leader), *self._successors)
+
+    def _check_leader(self, now: float) -> None:
+        if now > self._heard_at + SILENT_SECONDS:
+            self._seek(now)
+
+    def _try_claim(self, now: float) -> None:
+        if self.is_leaving:
+            return
+        waited = now - self._since(now)
+        needed = CLAIM_SECONDS
+        if self._is_first_search:
+            needed = CLAIM_AT_START_SECONDS
+            if self.me.host not in self.seeds:
+                needed = CLAIM_ANYWAY_SECONDS
+        if now < self._better_at + CLAIM_SECONDS:
+            needed = CLAIM_ANYWAY_SECONDS
+        if waited > needed:
+            self._lead(now)
+
+    def _since(self, now: float) -> float:
+        if self._seeking_since is None:
+            self._seeking_since = now
+        return self._seeking_since
+
+    def _seek(self, now: float) -> None:
+        self._suspected = self.leader
+        self.role = Role.SEEKING
+        self.leader = None
+        self._proxy = None
+        self._seeking_since = now
+        self._better_at = -math.inf
+        self._next_poll = now
+
+    def _follow(self, host: str, now: float) -> None:
+        self.role = Role.FOLLOWING
+        self.leader = host
+        self._proxy = None
+        self._is_first_search = False
+        self._heard_at = now
+        self._next_poll = now
+        self._suspected = None
+
+    def _lead(self, now: float) -> None:
+        self.role = Role.LEADING
+        self.leader = self.me.host
+        self._proxy = None
+        self._is_first_search = False
+        self._suspected = None
+        self._next_poll = now
+
+    def _notice_freeze(self, now: float) -> None:
+        last = self._last_tick
+        self._last_tick = now
+        if last is None or now < last + FROZEN_SECONDS:
+            return
+        if self.role is Role.LEADING:
+            # Others may have taken over meanwhile.
+            self._seek(now)
+            self._suspected = None
+
+    def _due_polls(self, now: float) -> tuple[str, ...]:
+        if self.role is Role.FOLLOWING:
+            self._next_poll = now + POLL_SECONDS
+            return (str(self.leader),)
+        if self.role is Role.LEADING:
+            self._next_poll = now + MERGE_SECONDS
+            others = [
+                host
+                for host in self._others(now)
+                if not self.followers.has(host)
+            ]
+            return self._next_of(others, 2)
+        self._next_poll = now + SEEK_SECONDS
+        return self._next_of(self._others(now), SEEK_WIDTH)
+
+    def _others(self, now: float) -> list[str]:
+        hosts = dict.fromkeys((*self._successors, *self.seeds, *self._known))
+        hosts.pop(self.me.host, None)
+        return list(hosts)
+
+    def _next_of(self, hosts: list[str], width: int) -> tuple[str, ...]:
+        """Returns the first successors each time, the others in turn."""
+        first = hosts[: width // 2 + 1]
+        rest = hosts[width // 2 + 1 :]
+        if not rest:
+            return tuple(first)
+        self._turn = (self._turn + 1) % len(rest)
+        return (*first, rest[self._turn])
+
+    def _know(self, host: str, now: float) -> None:
+        self._known.pop(host, None)
+        self._known[host] = now
+        while len(self._known) > MAX_KNOWN:
+            self._known.pop(next(iter(self._known)))
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/quarantine.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/quarantine.py
@@ -34,9 +34,14 @@
 class Quarantine:
     """The holder's strikes against fingerprints, the oldest dropped."""
 
-    def __init__(self, limit: int = MAX_FINGERPRINTS) -> None:
+    def __init__(
+        self,
+        limit: int = MAX_FINGERPRINTS,
+        lost_targets: int = LOST_TARGETS_LIMIT,
+    ) -> None:
         """Starts without strikes; remembers `limit` fingerprints."""
         self._limit = limit
+        self._lost_targets = lost_targets
         self._records: OrderedDict[str, _Record] = OrderedDict()
 
     def is_quarantined(self, fingerprint: str, now: float) -> bool:
@@ -48,6 +53,10 @@
         record = self._records.get(fingerprint)
         return max(0, record.until - now) if record else 0
 
+    def absolve(self, fingerprint: str) -> None:
+        """Forgets the strikes against a request that was answered."""
+        self._records.pop(fingerprint, None)
+
     def strike(self, strike: Strike, now: float) -> float:
         """Counts a lost target; returns the seconds of refusal, if any."""
         record = self._records.get(strike.fingerprint)
@@ -57,7 +66,7 @@
         self._records.move_to_end(strike.fingerprint)
         record.lost.add(strike.target)
         record.struck_at = now
-        if len(record.lost) >= LOST_TARGETS_LIMIT:
+        if len(record.lost) >= self._lost_targets:
             record.until = now + QUARANTINE_SECONDS
         if len(self._records) > self._limit:
             self._records.popitem(last=False)
--- a/tests/cover/fleet/test_asking_for_permits.py
+++ b/tests/cover/fleet/test_asking_for_permits.py
@@ -14,7 +14,7 @@
     ReportBatch,
 )
 from jacinthcroft_daemon.internal.sharing.probes import Prober
-from jacinthcroft_daemon.internal.telemetry import Metrics
+from jacinthcroft_daemon.internal.telemetry.metrics import Metrics
 from jacinthcroft_decisions.traffic import PermitReport, RunOutcome
 from jacinthcroft_http import now
 
--- a/tests/cover/telemetry/test_metrics.py
+++ b/tests/cover/telemetry/test_metrics.py
@@ -6,11 +6,10 @@
 from hypothesis import strategies as st
 from jacinthcroft_daemon.internal.telemetry import (
     Count,
-    Metrics,
     TraceBook,
     TraceEvent,
-    VmGauges,
 )
+from jacinthcroft_daemon.internal.telemetry.metrics import Metrics, VmGauges
 from prometheus_client.parser import text_string_to_metric_families
 from syrupy.assertion import SnapshotAssertion
 
