--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/decider.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/decider.py
@@ -227,7 +227,7 @@
         team = self._teams.get(ask.team)
         if team is not None and not ask.excluded:
             quota = self._quotas.setdefault(ask.team, TeamQuota())
-            wait = quota.take(team, self.share, now)
+            wait = quota.take(team, self.terms, self.share, now)
             if wait is not None:
                 return Refusal(ask.key, RefusalReason.RATE, wait)
         return None
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/placement.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/placement.py
@@ -96,6 +96,9 @@
     if is_first and standing is Standing.DOUBTFUL and not record.running:
         # The second send, to a proven target, still meets the objective.
         return -1
+    if standing is Standing.UNKNOWN and not record.has_been_used:
+        # Somebody has to be first, or a target that joined stays unused.
+        return int(Standing.PROVEN)
     return int(standing)
 
 
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/target_record.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/target_record.py
@@ -60,6 +60,11 @@
     _avoid_seconds: float = AVOID_SECONDS
     _errors: int = 0
 
+    @property
+    def has_been_used(self) -> bool:
+        """Whether it was ever sent a request."""
+        return self.last_used > -math.inf
+
     def is_cold(self, now: float) -> bool:
         """Whether the target still warms up."""
         return now < self.cold_until
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/team_quota.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/team_quota.py
@@ -10,7 +10,13 @@
 from attrs import define
 
 from jacinthcroft_decisions.internal.dispatch.documents import TeamTerms
+from jacinthcroft_decisions.internal.dispatch.terms import DispatchTerms
 
+# Parts of the stated tolerance that one deciding VM uses, so that a team is
+# not refused what it may have; the rest is for a change of that VM, whose
+# successor does not know what was just spent.
+OVERSHOOT_USED: Final = 0.8
+SLACK_USED: Final = 0.5
 # Part of the burst that a new count starts with.
 STARTING_SHARE: Final = 0.25
 # Shortest wait that is told to a caller, in seconds.
@@ -24,12 +30,20 @@
     _level: float | None = None
     _filled_at: float = 0
 
-    def take(self, terms: TeamTerms, share: float, now: float) -> float | None:
+    def take(
+        self,
+        team: TeamTerms,
+        terms: DispatchTerms,
+        share: float,
+        now: float,
+    ) -> float | None:
         """Takes a token, or returns the seconds until there is one."""
-        if terms.rate <= 0:
+        if team.rate <= 0:
             return None
-        rate = terms.rate * share
-        capacity = max(1, terms.burst * share)
+        factor = (1 + terms.quota_overshoot * OVERSHOOT_USED) * share
+        slack = terms.quota_slack * SLACK_USED * share
+        rate = team.rate * factor
+        capacity = max(1, team.burst * factor + slack)
         if self._level is None:
             self._level = max(1, capacity * STARTING_SHARE)
         else:
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/terms.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/terms.py
@@ -19,6 +19,10 @@
     retry_window: float = 10.0
     cold_factor: float = 1.0
     cold_slack: float = 1.0
+    # What a team may get beyond its rate and burst before its limit counts as
+    # broken: a share, and requests on top.
+    quota_overshoot: float = 0.0
+    quota_slack: float = 0.0
     # Keyed work stops when a key's withdrawal could be unknown for so long.
     revoke_seconds: float = 5.0
 
