--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/admission.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/admission.py
@@ -79,33 +79,27 @@
         configuration = self._copy.configuration
         if configuration is None:
             return _refuse(Reason.NOT_FRESH, 'no configuration is known yet')
-        headers = request.headers
-        host = (headers.get('host') or '').partition(':')[0].lower()
-        route = configuration.find_route(host, request.path)
-        if route is None:
-            return _refuse(Reason.UNKNOWN_ROUTE, 'no route for this path')
-        if not route.parts:
-            return _refuse(Reason.NO_CAPACITY, 'the route has no service')
+        route = self._find_route(configuration, request)
+        if isinstance(route, Refusal):
+            return route
         digest = b''
         team = None
         if configuration.teams and not route.is_open:
-            digest = _digest_of(headers.get('authorization'))
+            digest = _digest_of(request.headers.get('authorization'))
             found = self._find_team(configuration, digest)
             if isinstance(found, Refusal):
                 return found
             team = found
         arrived = request.received_at
-        patience = self._patience(request, route)
-        objective = route.objective or DEFAULT_OBJECTIVE_SECONDS
         return Admitted(
-            headers.get(self._dialect.request_id) or '',
+            request.headers.get(self._dialect.request_id) or '',
             route,
             team,
             digest,
             self._choose_part(route),
             arrived,
-            arrived + patience,
-            arrived + objective,
+            arrived + self._patience(request, route),
+            arrived + (route.objective or DEFAULT_OBJECTIVE_SECONDS),
             configuration.version,
         )
 
@@ -120,6 +114,19 @@
             return False
         return configuration.find_team(admitted.key_digest) is not None
 
+    def _find_route(
+        self,
+        configuration: Configuration,
+        request: IncomingRequest,
+    ) -> Route | Refusal:
+        host = (request.headers.get('host') or '').partition(':')[0].lower()
+        route = configuration.find_route(host, request.path)
+        if route is None:
+            return _refuse(Reason.UNKNOWN_ROUTE, 'no route for this path')
+        if not route.parts:
+            return _refuse(Reason.NO_CAPACITY, 'the route has no service')
+        return route
+
     def _find_team(
         self,
         configuration: Configuration,
--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/datagrams.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/datagrams.py
@@ -67,7 +67,7 @@
         try:
             kind, fields = unpack(data)
             self._handlers[kind](addr[0], fields)
-        except (ValueError, TypeError, KeyError, IndexError) as error:
+        except (ValueError, TypeError, LookupError) as error:
             self._log.log(
                 'warning',
                 'datagram-dropped',
--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/decision_link.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/decision_link.py
@@ -63,6 +63,11 @@
     _pending: dict[int, _Pending] = field(factory=dict)
     sendings: dict[int, Sending] = field(factory=dict)
 
+    @property
+    def decider_host(self) -> str:
+        """The VM that decides now."""
+        return self._leadership.leader or 'none'
+
     def next_number(self) -> int:
         """Returns a number that no ask of this process has had."""
         return next(self._numbers)
@@ -110,10 +115,11 @@
         pending = self._pending.get(decision.key[1])
         if pending is not None and not pending.done.done():
             pending.done.set_result(decision)
-        elif isinstance(decision, Grant) and pending is None:
-            if decision.key[1] not in self.sendings:
-                # The request has been given up meanwhile.
-                self._tell(Report(decision.key, Outcome.ABANDONED, 0))
+            return
+        is_used = pending is not None or decision.key[1] in self.sendings
+        if isinstance(decision, Grant) and not is_used:
+            # The request has been given up meanwhile.
+            self._tell(Report(decision.key, Outcome.ABANDONED, 0))
 
     def note_waiting(self, number: int) -> None:
         """Notes that the deciding VM has an ask in its queue."""
--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/documents_copy.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/documents_copy.py
@@ -144,14 +144,32 @@
     if after.evacuated_zones != before.evacuated_zones:
         zones = ','.join(sorted(after.evacuated_zones))
         log_event('info', 'zones-evacuated', zones=zones, state=version)
-    for target_id in set(before.targets) | set(after.targets):
-        old = before.targets.get(target_id)
-        new = after.targets.get(target_id)
-        if (old and old.is_ready) != (new and new.is_ready):
-            log_event(
-                'info',
-                'target-listed' if new and new.is_ready else 'target-leaving',
-                target=target_id,
-                is_listed=new is not None,
-                state=version,
-            )
+    _log_targets(before, after, version)
+
+
+def _log_targets(
+    before: FleetDocuments,
+    after: FleetDocuments,
+    version: int,
+) -> None:
+    was_ready = _ready_targets(before)
+    is_ready = _ready_targets(after)
+    for target_id in was_ready ^ is_ready:
+        event = 'target-leaving'
+        if target_id in is_ready:
+            event = 'target-listed'
+        log_event(
+            'info',
+            event,
+            target=target_id,
+            is_listed=target_id in after.targets,
+            state=version,
+        )
+
+
+def _ready_targets(documents: FleetDocuments) -> set[str]:
+    return {
+        entry.target_id
+        for entry in documents.targets.values()
+        if entry.is_ready
+    }
--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/fleet_link.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/fleet_link.py
@@ -1,10 +1,9 @@
-"""Polls other VMs, answers theirs, and decides for those that follow."""
+"""Polls other VMs, answers their polls, and keeps this VM's copy new."""
 
 import asyncio
 from typing import Any, Final
 
 from attrs import define, field
-from jacinthcroft_decisions.dispatch import Ask, Decider, Decision, Outcome
 from jacinthcroft_decisions.membership import (
     Leadership,
     PollReply,
@@ -21,24 +20,21 @@
 )
 
 from jacinthcroft_daemon.internal.seeded.datagrams import Datagrams
-from jacinthcroft_daemon.internal.seeded.decision_link import DecisionLink
+from jacinthcroft_daemon.internal.seeded.decision_desk import DecisionDesk
 from jacinthcroft_daemon.internal.seeded.documents_copy import (
     DocumentsCopy,
     import_changes,
 )
-from jacinthcroft_daemon.internal.seeded.reader import PlatformReader
-from jacinthcroft_daemon.internal.seeded.wire import (
-    Kind,
-    pack,
-    pack_decision,
+from jacinthcroft_daemon.internal.seeded.poll_wire import (
     pack_poll,
     pack_reply,
-    unpack_ask,
-    unpack_grant,
     unpack_poll,
-    unpack_refusal,
     unpack_reply,
-    unpack_report,
+)
+from jacinthcroft_daemon.internal.seeded.reader import PlatformReader
+from jacinthcroft_daemon.internal.seeded.wire import (
+    Kind,
+    pack,
 )
 from jacinthcroft_daemon.internal.telemetry.events import log_event
 
@@ -48,7 +44,7 @@
 # Polls whose reply is still awaited; older ones are lost.
 MAX_POLLS_AWAITED: Final = 64
 # A copy that is fetched from another VM, in bytes and seconds at most.
-MAX_COPY_BYTES: Final = 16 * 1024 * 1024
+MAX_COPY_BYTES: Final = 16_000_000
 COPY_SECONDS: Final = 2.0
 # How old the copy gets before other VMs are asked to read, in seconds: one
 # call that was not answered.
@@ -58,7 +54,6 @@
 HELPER_TURN_SECONDS: Final = 0.8
 COPY_PATH: Final = '/copy'
 _MILLIS: Final = 1000
-_GOOD_OUTCOMES: Final = frozenset((Outcome.SERVED, Outcome.ABANDONED))
 
 
 @define(eq=False)
@@ -66,12 +61,11 @@
     """This VM's part in the fleet."""
 
     _leadership: Leadership
-    _decider: Decider
     _datagrams: Datagrams
     _copy: DocumentsCopy
     _pool: ConnectionPool
-    link: DecisionLink = field(init=False)
-    reader: PlatformReader = field(init=False)
+    desk: DecisionDesk
+    reader: PlatformReader
     _polled_at: dict[int, float] = field(factory=dict)
     _nonce: int = 0
     _fetching: asyncio.Task[None] | None = None
@@ -87,11 +81,6 @@
         handlers = {
             Kind.POLL: self._on_poll,
             Kind.POLL_REPLY: self._on_reply,
-            Kind.ASK: self._on_ask,
-            Kind.GRANT: self._on_grant,
-            Kind.REFUSAL: self._on_refusal,
-            Kind.WAITING: self._on_waiting,
-            Kind.REPORT: self._on_report,
             Kind.REDIRECT: self._on_redirect,
             Kind.TAKE_OVER: self._on_take_over,
         }
@@ -107,19 +96,6 @@
                 pause = LEADING_TICK_SECONDS
             await asyncio.sleep(pause)
 
-    def adopt(self) -> None:
-        """Takes in new documents."""
-        self._decider.adopt(self._copy.documents, now())
-        self._deliver_all(self._decider.tick(now()))
-
-    def deliver(self, decision: Decision) -> None:
-        """Hands a decision to the VM that asked."""
-        host = decision.key[0]
-        if host == self._leadership.me.host:
-            self.link.take(decision)
-        else:
-            self._datagrams.send(host, pack_decision(decision))
-
     def resign(self) -> None:
         """Hands over to another VM before this one leaves."""
         successor = self._leadership.resign()
@@ -135,15 +111,9 @@
         for host in leadership.tick(at):
             self._poll(host, wants_reader=False)
         self._note_role()
-        for gone in leadership.followers.take_gone():
-            self._decider.drop_vm(gone)
         if self._copy.tick():
-            self.adopt()
-        self._decider.share = leadership.followers.share(
-            at,
-            is_leading=leadership.is_leading,
-        )
-        self._deliver_all(self._decider.tick(at))
+            self.desk.adopt()
+        self.desk.tick()
         if leadership.is_leading:
             self._seek_readers(at)
 
@@ -162,7 +132,7 @@
         )
         self.reader.wake()
         if leadership.leader is not None:
-            self.link.ask_again()
+            self.desk.link.ask_again()
 
     def _seek_readers(self, at: float) -> None:
         """Has other VMs read while the platform does not answer this one."""
@@ -198,6 +168,7 @@
             leadership.is_leading,
             is_following,
             wants_reader,
+            leadership.suspected,
         )
         running: list[Any] = []
         if is_following:
@@ -209,7 +180,7 @@
 
     def _list_sendings(self, host: str) -> list[Any]:
         """Lists what is under way, in full for a new deciding VM."""
-        sendings = self.link.sendings
+        sendings = self.desk.link.sendings
         if self._introduced_to == host:
             return list(sendings)
         at = now()
@@ -232,34 +203,12 @@
         if poll.wants_reader:
             self.reader.read_on_behalf()
         if poll.is_following:
-            self._take_running(host, running, at)
+            self.desk.take_running(host, running, at)
         self._datagrams.send(
             host,
             pack(Kind.POLL_REPLY, nonce, pack_reply(self._make_reply(at))),
         )
 
-    def _take_running(self, host: str, running: list[Any], at: float) -> None:
-        numbers: list[int] = []
-        for entry in running:
-            if isinstance(entry, int):
-                numbers.append(entry)
-                continue
-            number, service, target_id, since, left = entry
-            numbers.append(int(number))
-            ask = Ask(
-                vm=host,
-                number=int(number),
-                service=str(service),
-                team='',
-                is_repeatable=False,
-                attempt=1,
-                rank=0,
-                time_left=left / _MILLIS,
-                objective_left=0,
-            )
-            self._decider.adopt_running(ask, target_id, since / _MILLIS, at)
-        self._decider.keep_only(host, frozenset(numbers), at)
-
     def _make_reply(self, at: float) -> PollReply:
         leadership = self._leadership
         followers = leadership.followers
@@ -269,6 +218,7 @@
             leadership.is_leaving,
             leadership.leader,
             leadership.successors,
+            followers.next_hosts(),
             followers.fleet_size(at, is_leading=leadership.is_leading),
             self._copy.state.version,
             self._copy.state.age(at),
@@ -325,49 +275,11 @@
             log_event('warning', 'copy-failed', of=host, detail=str(error))
             return
         if self._copy.absorb(changes):
-            self.adopt()
+            self.desk.adopt()
         # The next reply confirms it; until then the age is unchanged.
         if self._leadership.leader == host:
             self._poll(host, wants_reader=False)
 
-    def _on_ask(self, host: str, fields: list[Any]) -> None:
-        leadership = self._leadership
-        if leadership.is_leaving and not leadership.is_leading:
-            self._datagrams.send(
-                host,
-                pack(Kind.REDIRECT, leadership.leader),
-            )
-            return
-        ask = unpack_ask(host, fields)
-        zone = leadership.followers.zone_of(host)
-        decision = self._decider.decide(ask, zone, now())
-        if decision is None:
-            self._datagrams.send(host, pack(Kind.WAITING, ask.number))
-        else:
-            self._datagrams.send(host, pack_decision(decision))
-
-    def _on_grant(self, _: str, fields: list[Any]) -> None:
-        self.link.take(unpack_grant(self._leadership.me.host, fields))
-
-    def _on_refusal(self, _: str, fields: list[Any]) -> None:
-        self.link.take(unpack_refusal(self._leadership.me.host, fields))
-
-    def _on_waiting(self, _: str, fields: list[Any]) -> None:
-        self.link.note_waiting(int(fields[0]))
-
-    def _on_report(self, host: str, fields: list[Any]) -> None:
-        report = unpack_report(host, fields)
-        if report.outcome not in _GOOD_OUTCOMES:
-            log_event(
-                'info',
-                'target-report',
-                vm=host,
-                number=report.key[1],
-                outcome=report.outcome.name,
-                seconds=report.seconds,
-            )
-        self._deliver_all(self._decider.report(report, now()))
-
     def _on_redirect(self, _: str, fields: list[Any]) -> None:
         if fields[0] is not None:
             self._leadership.redirect(str(fields[0]), now())
@@ -377,7 +289,3 @@
         log_event('info', 'leadership-taken-over', of=host)
         self._leadership.take_over(now())
         self._note_role()
-
-    def _deliver_all(self, decisions: list[Decision]) -> None:
-        for decision in decisions:
-            self.deliver(decision)
--- /dev/null
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/poll_wire.py
@@ -0,0 +1,76 @@
+"""Polls and their replies as fields of datagrams."""
+
+from typing import Any, Final
+
+from jacinthcroft_decisions.membership import Peer, Poll, PollReply
+
+_MILLIS: Final = 1000
+# Stands for an age that is not known.
+_UNKNOWN_AGE_MILLIS: Final = 2_000_000_000
+
+
+def pack_peer(peer: Peer) -> list[Any]:
+    """Returns a peer's fields."""
+    return [peer.host, peer.zone, peer.incarnation, list(peer.rank)]
+
+
+def unpack_peer(fields: list[Any]) -> Peer:
+    """Returns the peer of such fields."""
+    host, zone, incarnation, rank = fields
+    return Peer(str(host), str(zone), int(incarnation), (rank[0], rank[1]))
+
+
+def pack_poll(poll: Poll) -> list[Any]:
+    """Returns a poll's fields."""
+    return [
+        pack_peer(poll.sender),
+        poll.is_leading,
+        poll.is_following,
+        poll.wants_reader,
+        poll.suspects,
+    ]
+
+
+def unpack_poll(fields: list[Any]) -> Poll:
+    """Returns the poll of such fields."""
+    sender, is_leading, is_following, wants_reader, suspects = fields
+    return Poll(
+        unpack_peer(sender),
+        bool(is_leading),
+        bool(is_following),
+        bool(wants_reader),
+        None if suspects is None else str(suspects),
+    )
+
+
+def pack_reply(reply: PollReply) -> list[Any]:
+    """Returns a poll reply's fields."""
+    age = min(reply.state_age * _MILLIS, _UNKNOWN_AGE_MILLIS)
+    return [
+        pack_peer(reply.sender),
+        reply.is_leading,
+        reply.is_leaving,
+        reply.leader,
+        list(reply.successors),
+        list(reply.others),
+        reply.fleet_size,
+        reply.state_version,
+        int(age) + 1,
+    ]
+
+
+def unpack_reply(fields: list[Any]) -> PollReply:
+    """Returns the poll reply of such fields."""
+    sender, is_leading, is_leaving, leader = fields[:4]
+    successors, others, fleet_size, version, age = fields[4:]
+    return PollReply(
+        unpack_peer(sender),
+        bool(is_leading),
+        bool(is_leaving),
+        None if leader is None else str(leader),
+        tuple(str(host) for host in successors),
+        tuple(str(host) for host in others),
+        int(fleet_size),
+        int(version),
+        int(age) / _MILLIS,
+    )
--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/reader.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/reader.py
@@ -99,7 +99,7 @@
                 age=round(self._copy.state.age(now()), 3),
             )
         self._failures += 1
-        doubled = RETRY_SECONDS * 2 ** min(self._failures - 1, 8)
+        doubled = RETRY_SECONDS * float(2 ** min(self._failures - 1, 8))
         return min(MAX_RETRY_SECONDS, doubled)
 
     def _take(self, reading: Reading, begun: float) -> float:
--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/request_flow.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/request_flow.py
@@ -207,16 +207,6 @@
         decision = await self._link.ask(ask)
         if isinstance(decision, Grant):
             progress.tried.append(decision.target_id)
-            log_event(
-                'info',
-                'granted',
-                request=admitted.request_id,
-                number=ask.number,
-                target=decision.target_id,
-                attempt=ask.attempt,
-                waited=round(now() - at, 3),
-                configuration=admitted.version,
-            )
             return decision
         progress.refusal = decision
         log_event(
@@ -227,6 +217,8 @@
             reason=decision.reason.name if decision else 'NO_DECISION',
             attempt=ask.attempt,
             waited=round(now() - at, 3),
+            decider=self._link.decider_host,
+            configuration=admitted.version,
         )
         return None
 
@@ -257,7 +249,12 @@
             'info',
             'sent',
             request=progress.admitted.request_id,
+            number=grant.key[1],
             target=grant.target_id,
+            attempt=len(progress.tried),
+            since=round(begun - progress.request.received_at, 3),
+            decider=self._link.decider_host,
+            configuration=progress.admitted.version,
             outcome=result.outcome.name,
             seconds=round(result.seconds, 3),
             detail=result.detail,
--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/sender.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/sender.py
@@ -27,7 +27,6 @@
 HELD_ANSWER_BYTES: Final = 4 * 1024 * 1024
 _MISDIRECTED: Final = 421
 _FIRST_FAILURE: Final = 500
-_SUCCESS: Final = range(200, 300)
 
 
 @frozen
--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/vm.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/vm.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+from collections.abc import Iterable
 from typing import Any, Final, Self
 
 from attrs import define, field
@@ -26,6 +27,7 @@
 )
 from jacinthcroft_daemon.internal.seeded.admission import Admission
 from jacinthcroft_daemon.internal.seeded.datagrams import Datagrams
+from jacinthcroft_daemon.internal.seeded.decision_desk import DecisionDesk
 from jacinthcroft_daemon.internal.seeded.decision_link import DecisionLink
 from jacinthcroft_daemon.internal.seeded.deployment import (
     Deployment,
@@ -43,12 +45,10 @@
 
 # Connections to targets: kept for less than targets keep theirs, and opened
 # within a few round trips or not at all; in seconds.
-TARGET_POOL: Final = PoolLimits(
-    max_idle_per_address=4,
-    idle_timeout=7.5,
-    connect_timeout=0.3,
-)
-PEER_POOL: Final = PoolLimits(connect_timeout=0.5)
+MAX_IDLE_PER_TARGET: Final = 4
+TARGET_IDLE_SECONDS: Final = 7.5
+TARGET_CONNECT_SECONDS: Final = 0.3
+PEER_CONNECT_SECONDS: Final = 0.5
 # Callers are given longer than any configuration lets them idle, seconds.
 CALLER_IDLE_SECONDS: Final = 75.0
 MAX_HEAD_BYTES: Final = 65536
@@ -93,52 +93,45 @@
             (-settings.room, _spread(settings.host)),
         )
         leadership = Leadership(me, settings.seeds)
-        decider = Decider.from_terms(settings.terms)
+        datagrams = Datagrams.from_port(settings.peer_port)
         documents = DocumentsCopy(
             deployment.translator,
             settings.terms.revoke_seconds,
         )
-        datagrams = Datagrams.from_port(settings.peer_port)
-        peer_pool = ConnectionPool.from_limits(PEER_POOL)
-        target_pool = ConnectionPool.from_limits(TARGET_POOL)
-        fleet = FleetLink(
+        pools = _make_pools()
+        desk = DecisionDesk(
             leadership,
-            decider,
+            Decider.from_terms(settings.terms),
             datagrams,
             documents,
-            peer_pool,
         )
-        fleet.link = DecisionLink(
-            decider,
+        desk.link = DecisionLink(
+            desk.decider,
             leadership,
             datagrams,
             settings.zone,
             itertools.count(source.getrandbits(_NUMBER_BITS)),
-            fleet.deliver,
+            desk.deliver,
         )
-        fleet.reader = PlatformReader(
-            deployment.store,
-            documents,
-            lambda: leadership.is_leading,
-            fleet.adopt,
-        )
-        fleet.register()
         admission = Admission(
             documents,
             deployment.dialect,
             source,
             settings.fails_closed,
         )
-        sender = Sender(target_pool, deployment.dialect, admission)
-        flow = RequestFlow(admission, fleet.link, sender, settings.host)
         return cls(
             settings,
             documents,
             leadership,
-            fleet,
+            _make_fleet_link(desk, deployment, pools[0]),
             datagrams,
-            (peer_pool, target_pool),
-            flow,
+            pools,
+            RequestFlow(
+                admission,
+                desk.link,
+                Sender(pools[1], deployment.dialect, admission),
+                settings.host,
+            ),
         )
 
     @property
@@ -169,11 +162,14 @@
                 finished.result()
             await self._drain()
         finally:
-            for loop in (stop, *loops):
-                loop.cancel()
-            self._datagrams.close()
-            for pool in self._pools:
-                await pool.close()
+            await self._close((stop, *loops))
+
+    async def _close(self, tasks: Iterable[asyncio.Task[Any]]) -> None:
+        for task in tasks:
+            task.cancel()
+        self._datagrams.close()
+        for pool in self._pools:
+            await pool.close()
 
     async def _start(self) -> None:
         settings = self._settings
@@ -233,6 +229,45 @@
         return Response(_OK, body=self._copy.export(int(after)))
 
 
+def _make_pools() -> tuple[ConnectionPool, ConnectionPool]:
+    """Returns the pools for other VMs and for targets."""
+    peers = PoolLimits(connect_timeout=PEER_CONNECT_SECONDS)
+    targets = PoolLimits(
+        MAX_IDLE_PER_TARGET,
+        TARGET_IDLE_SECONDS,
+        TARGET_CONNECT_SECONDS,
+    )
+    return (
+        ConnectionPool.from_limits(peers),
+        ConnectionPool.from_limits(targets),
+    )
+
+
+def _make_fleet_link(
+    desk: DecisionDesk,
+    deployment: Deployment,
+    pool: ConnectionPool,
+) -> FleetLink:
+    leadership = desk.leadership
+    reader = PlatformReader(
+        deployment.store,
+        desk.documents,
+        lambda: leadership.is_leading,
+        desk.adopt,
+    )
+    fleet = FleetLink(
+        leadership,
+        desk.datagrams,
+        desk.documents,
+        pool,
+        desk,
+        reader,
+    )
+    desk.register()
+    fleet.register()
+    return fleet
+
+
 def _spread(host: str) -> int:
     # Any fixed order does that does not follow the order of the addresses.
     return random.Random(host).getrandbits(_NUMBER_BITS)
--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/wire.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/wire.py
@@ -17,11 +17,8 @@
     RefusalReason,
     Report,
 )
-from jacinthcroft_decisions.membership import Peer, Poll, PollReply
 
 _MILLIS: Final = 1000
-# Stands for an age that is not known.
-_UNKNOWN_AGE_MILLIS: Final = 2**31
 
 
 class Kind(enum.IntEnum):
@@ -59,69 +56,6 @@
     return Kind(fields[0]), fields[1:]
 
 
-def pack_peer(peer: Peer) -> list[Any]:
-    """Returns a peer's fields."""
-    return [peer.host, peer.zone, peer.incarnation, list(peer.rank)]
-
-
-def unpack_peer(fields: list[Any]) -> Peer:
-    """Returns the peer of such fields."""
-    host, zone, incarnation, rank = fields
-    return Peer(str(host), str(zone), int(incarnation), (rank[0], rank[1]))
-
-
-def pack_poll(poll: Poll) -> list[Any]:
-    """Returns a poll's fields."""
-    return [
-        pack_peer(poll.sender),
-        poll.is_leading,
-        poll.is_following,
-        poll.wants_reader,
-    ]
-
-
-def unpack_poll(fields: list[Any]) -> Poll:
-    """Returns the poll of such fields."""
-    sender, is_leading, is_following, wants_reader = fields
-    return Poll(
-        unpack_peer(sender),
-        bool(is_leading),
-        bool(is_following),
-        bool(wants_reader),
-    )
-
-
-def pack_reply(reply: PollReply) -> list[Any]:
-    """Returns a poll reply's fields."""
-    age = min(reply.state_age * _MILLIS, _UNKNOWN_AGE_MILLIS)
-    return [
-        pack_peer(reply.sender),
-        reply.is_leading,
-        reply.is_leaving,
-        reply.leader,
-        list(reply.successors),
-        reply.fleet_size,
-        reply.state_version,
-        int(age) + 1,
-    ]
-
-
-def unpack_reply(fields: list[Any]) -> PollReply:
-    """Returns the poll reply of such fields."""
-    sender, is_leading, is_leaving, leader = fields[:4]
-    successors, fleet_size, version, age = fields[4:]
-    return PollReply(
-        unpack_peer(sender),
-        bool(is_leading),
-        bool(is_leaving),
-        None if leader is None else str(leader),
-        tuple(str(host) for host in successors),
-        int(fleet_size),
-        int(version),
-        int(age) / _MILLIS,
-    )
-
-
 def pack_ask(ask: Ask) -> bytes:
     """Returns the datagram of an ask."""
     return pack(
@@ -142,21 +76,20 @@
 
 def unpack_ask(host: str, fields: list[Any]) -> Ask:
     """Returns the ask that a VM sent."""
-    number, service, team, is_repeatable, attempt, rank = fields[:6]
-    time_left, objective_left, fingerprint, body_bytes, excluded = fields[6:]
+    time_left, objective_left = fields[6:8]
     return Ask(
         host,
-        int(number),
-        str(service),
-        str(team),
-        bool(is_repeatable),
-        int(attempt),
-        int(rank),
-        time_left / _MILLIS,
-        objective_left / _MILLIS,
-        str(fingerprint),
-        int(body_bytes),
-        tuple(str(target) for target in excluded),
+        int(fields[0]),
+        service=str(fields[1]),
+        team=str(fields[2]),
+        is_repeatable=bool(fields[3]),
+        attempt=int(fields[4]),
+        rank=int(fields[5]),
+        time_left=time_left / _MILLIS,
+        objective_left=objective_left / _MILLIS,
+        fingerprint=str(fields[8]),
+        body_bytes=int(fields[9]),
+        excluded=tuple(str(target) for target in fields[10]),
     )
 
 
--- a/packages/daemon/src/jacinthcroft_daemon/seeded.py
+++ b/packages/daemon/src/jacinthcroft_daemon/seeded.py
@@ -20,7 +20,7 @@
 )
 from jacinthcroft_daemon.internal.seeded.vm import SeededVm
 from jacinthcroft_daemon.internal.telemetry.events import log_event
-from jacinthcroft_daemon.internal.telemetry.line_format import set_up_logging
+from jacinthcroft_daemon.internal.telemetry.stdout_lines import log_to_stdout
 
 __all__ = (
     'Deployment',
@@ -43,7 +43,7 @@
 
     `connect` is called inside the event loop.
     """
-    set_up_logging(settings.name, 'info')
+    log_to_stdout(settings.name)
     asyncio.run(_serve(settings, connect))
 
 
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/decider.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/decider.py
@@ -7,7 +7,6 @@
 
 from jacinthcroft_decisions.internal.dispatch.documents import (
     FleetDocuments,
-    ServiceTerms,
     TargetEntry,
     TeamTerms,
 )
@@ -91,10 +90,6 @@
         """How many sends are under way."""
         return len(self._running)
 
-    def board(self, service: str) -> ServiceBoard | None:
-        """Returns what is known of a service."""
-        return self._boards.get(service)
-
     def adopt(self, documents: FleetDocuments, now: float) -> None:
         """Takes in what operators and targets publish."""
         configuration = documents.configuration
@@ -158,7 +153,7 @@
                 self._drop(running)
         decisions: list[Decision] = []
         for board in self._boards.values():
-            decisions += self._pump(board, now)
+            decisions.extend(self._pump(board, now))
         return decisions
 
     def keep_only(self, vm: str, numbers: frozenset[int], now: float) -> None:
@@ -200,8 +195,9 @@
                 self._drop(running)
         for board in self._boards.values():
             board.queue.drop_vm(vm)
-        for key in [key for key in self._waiting_at if key[0] == vm]:
-            self._waiting_at.pop(key)
+        for key in tuple(self._waiting_at):
+            if key[0] == vm:
+                self._waiting_at.pop(key)
 
     def _new_budget(self) -> RetryBudget:
         terms = self.terms
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/documents.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/documents.py
@@ -94,9 +94,7 @@
 
     @_teams_by_key.default
     def _index_teams(self) -> Mapping[bytes, TeamTerms]:
-        return {
-            key: team for team in self.teams.values() for key in team.keys
-        }
+        return {key: team for team in self.teams.values() for key in team.keys}
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Returns the route of the host with the longest matching prefix."""
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/placement.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/placement.py
@@ -81,7 +81,7 @@
 def worst_standing(requester: Requester) -> Standing:
     """Returns how doubtful a target the request may go to by now."""
     ask = requester.ask
-    if ask.is_repeatable and ask.attempt == 1 and ask.excluded == ():
+    if ask.is_repeatable and ask.attempt == 1 and not ask.excluded:
         return Standing.DOUBTFUL
     total = requester.waited + max(0, ask.objective_left)
     if requester.waited >= AVOIDED_AFTER * total:
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/target_record.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/target_record.py
@@ -32,6 +32,9 @@
 # So many VMs without a path make it the target's fault.
 PATHS_AGAINST_TARGET: Final = 3
 
+_ANSWERED: Final = frozenset(
+    (Outcome.SERVED, Outcome.ERROR, Outcome.SHED),
+)
 _TROUBLES: Final = frozenset((Outcome.BROKEN, Outcome.SILENT))
 
 
@@ -117,25 +120,33 @@
         """Takes in how a send ended."""
         started = self.running.pop(key, now)
         vm = key[0]
-        if outcome is Outcome.SERVED:
-            self._take_success(vm, seconds, now)
-        elif outcome is Outcome.ERROR:
+        if outcome in _ANSWERED:
+            # The connection is good, whatever came over it.
             self.paths[vm] = now
-            self._errors += 1
-            if self._errors >= ERRORS_IN_A_ROW:
-                self._take_trouble(now)
         elif outcome in _TROUBLES:
             self.paths.pop(vm, None)
-            if self.served_at <= started or outcome is Outcome.BROKEN:
-                self._take_trouble(now)
+        if outcome is Outcome.SERVED:
+            self._take_success(seconds, now)
+        elif outcome is Outcome.ERROR:
+            self._take_error(now)
         elif outcome is Outcome.UNREACHABLE:
             self._block_path(vm, now)
-        elif outcome is Outcome.SHED:
-            self.paths[vm] = now
+        elif self._is_against(outcome, started):
+            self._take_trouble(now)
+
+    def _is_against(self, outcome: Outcome, started: float) -> bool:
+        if outcome is Outcome.SILENT:
+            # An answer to a later request speaks for the target.
+            return self.served_at <= started
+        return outcome is Outcome.BROKEN
+
+    def _take_error(self, now: float) -> None:
+        self._errors += 1
+        if self._errors >= ERRORS_IN_A_ROW:
+            self._take_trouble(now)
 
-    def _take_success(self, vm: str, seconds: float, now: float) -> None:
+    def _take_success(self, seconds: float, now: float) -> None:
         self._errors = 0
-        self.paths[vm] = now
         self.served_at = now
         self._avoid_seconds = AVOID_SECONDS
         if self.mean_latency is None:
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/wait_queue.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/wait_queue.py
@@ -40,7 +40,9 @@
         return self.since + self.ask.objective_left
 
 
-def order_of(waiting: Waiting, now: float, mean: float) -> tuple[int, int, float]:
+def order_of(
+    waiting: Waiting, now: float, mean: float
+) -> tuple[int, int, float]:
     """Returns the sort key of a waiting ask: the smallest goes first."""
     is_late = now + mean > waiting.objective
     return (waiting.ask.rank, int(is_late), waiting.since)
@@ -71,8 +73,9 @@
 
     def drop_vm(self, vm: str) -> None:
         """Forgets the asks of a VM that is gone."""
-        for key in [key for key in self._waiting if key[0] == vm]:
-            self._waiting.pop(key)
+        for key in tuple(self._waiting):
+            if key[0] == vm:
+                self._waiting.pop(key)
 
     def in_order(self, now: float, mean: float) -> list[Waiting]:
         """Returns all that wait, the first to be served first."""
--- a/packages/decisions/src/jacinthcroft_decisions/internal/membership/followers.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/membership/followers.py
@@ -15,8 +15,9 @@
 # for at least so large.
 UNKNOWN_FLEET_SIZE: Final = 8
 UNKNOWN_FLEET_SECONDS: Final = 8.0
-# How many of them are named as successors.
-SUCCESSORS: Final = 4
+# How many of them are named as successors, and how many more in turn.
+SUCCESSORS: Final = 3
+OTHERS: Final = 3
 
 
 @define
@@ -28,6 +29,7 @@
     _seen: dict[str, float] = field(factory=dict)
     _gone: list[str] = field(factory=list)
     _told_size: int = 1
+    _turn: int = 0
     _started_at: float | None = None
 
     @property
@@ -81,12 +83,19 @@
     def best_hosts(self) -> tuple[str, ...]:
         """Returns the successors, best first, over several zones."""
         ranked = sorted(self._peers.values(), key=lambda peer: peer.rank)
-        chosen: list[Peer] = []
-        for peer in ranked:
-            if all(other.zone != peer.zone for other in chosen):
-                chosen.append(peer)
-        chosen += [peer for peer in ranked if peer not in chosen]
-        return tuple(peer.host for peer in chosen[:SUCCESSORS])
+        by_zone: dict[str, Peer] = {}
+        for follower in ranked:
+            by_zone.setdefault(follower.zone, follower)
+        chosen = dict.fromkeys((*by_zone.values(), *ranked))
+        return tuple(peer.host for peer in chosen)[:SUCCESSORS]
+
+    def next_hosts(self) -> tuple[str, ...]:
+        """Returns some followers, other ones each time."""
+        hosts = self.hosts()
+        if not hosts:
+            return ()
+        self._turn = (self._turn + OTHERS) % len(hosts)
+        return (hosts + hosts)[self._turn : self._turn + OTHERS]
 
     def hear_fleet_size(self, size: int) -> None:
         """Takes over what the leader says of the fleet's size."""
--- a/packages/decisions/src/jacinthcroft_decisions/internal/membership/leadership.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/membership/leadership.py
@@ -12,6 +12,7 @@
 from attrs import define, field
 
 from jacinthcroft_decisions.internal.membership.followers import Followers
+from jacinthcroft_decisions.internal.membership.host_book import HostBook
 from jacinthcroft_decisions.internal.membership.peers import (
     Peer,
     Poll,
@@ -35,14 +36,18 @@
 CLAIM_ANYWAY_SECONDS: Final = 2.0
 # A leader that is only unreachable from here: follow who still hears it.
 PROXY_SECONDS: Final = 0.5
-# Seconds between a leader's polls of VMs that may lead others.
+# How long a leader that another VM has lost may take to reply, in seconds.
+DOUBT_SECONDS: Final = 0.25
+# Seconds between a leader's polls of VMs that may lead others; shorter while
+# it decides for less than half of the fleet.
 MERGE_SECONDS: Final = 1.0
+LONELY_MERGE_SECONDS: Final = 0.2
+LONELY_SHARE: Final = 0.5
 # A gap of this length between two turns means that the VM stood still.
 FROZEN_SECONDS: Final = 1.0
-# Hosts that are remembered to find others by.
-MAX_KNOWN: Final = 64
-# How many VMs are asked at a time while seeking.
+# How many VMs are asked at a time while seeking, and by a leader.
 SEEK_WIDTH: Final = 4
+MERGE_WIDTH: Final = 2
 
 
 class Role(enum.Enum):
@@ -64,22 +69,27 @@
     followers: Followers = field(factory=Followers)
     is_leaving: bool = False
     _successors: tuple[str, ...] = ()
-    _known: dict[str, float] = field(factory=dict)
-    _seeking_since: float | None = None
+    _hosts: HostBook = field(factory=HostBook)
+    _seeking_since: float = math.inf
     _is_first_search: bool = True
     _heard_at: float = -math.inf
     _suspected: str | None = None
     _better_at: float = -math.inf
+    _doubted_at: float | None = None
     _proxy: str | None = None
     _next_poll: float = 0
-    _turn: int = 0
-    _last_tick: float | None = None
+    _last_tick: float = math.inf
 
     @property
     def is_leading(self) -> bool:
         """Whether this VM decides for those that follow it."""
         return self.role is Role.LEADING
 
+    @property
+    def suspected(self) -> str | None:
+        """The leader that was lost, while another one is sought."""
+        return self._suspected
+
     @property
     def successors(self) -> tuple[str, ...]:
         """Returns who takes over next, best first."""
@@ -89,7 +99,13 @@
 
     def tick(self, now: float) -> tuple[str, ...]:
         """Returns the hosts to poll now."""
-        self._notice_freeze(now)
+        has_stood_still = now > self._last_tick + FROZEN_SECONDS
+        self._last_tick = now
+        if has_stood_still and self.role is Role.LEADING:
+            # Others may have taken over meanwhile.
+            self._seek(now)
+            self._suspected = None
+        self._seeking_since = min(self._seeking_since, now)
         self.followers.drop_silent(now)
         if self.role is Role.FOLLOWING:
             self._check_leader(now)
@@ -109,25 +125,28 @@
     def hear_poll(self, poll: Poll, now: float) -> None:
         """Takes in a poll of another VM."""
         sender = poll.sender
-        self._know(sender.host, now)
+        self._hosts.note(sender.host)
         if poll.is_following:
             self.followers.hear(sender, now)
         else:
             self.followers.discard(sender.host)
-        if poll.is_leading and self.role is Role.SEEKING:
-            self._follow(sender.host, now)
-        elif poll.is_leading and self._should_yield_to(sender):
+        if poll.suspects is not None and poll.suspects == self.leader:
+            self._doubt(now)
+        is_better = self.is_leading and sender.rank < self.me.rank
+        if poll.is_leading and (self.role is Role.SEEKING or is_better):
             self._follow(sender.host, now)
 
     def hear_reply(self, reply: PollReply, now: float) -> None:
         """Takes in what a polled VM said."""
         host = reply.sender.host
-        self._know(host, now)
+        self._hosts.note(host)
+        for other in reply.others:
+            self._hosts.note(other)
         if self.role is Role.LEADING:
-            if reply.is_leading and self._should_yield_to(reply.sender):
+            if reply.is_leading and reply.sender.rank < self.me.rank:
                 self._follow(host, now)
             elif reply.leader not in {None, self.me.host}:
-                self._know(str(reply.leader), now)
+                self._hosts.note(str(reply.leader))
         elif self.role is Role.FOLLOWING:
             self._hear_while_following(reply, now)
         else:
@@ -153,12 +172,10 @@
         """Follows the VM that a leaving leader named."""
         if host == self.me.host:
             self.take_over(now)
-        elif self.role is not Role.LEADING:
+            return
+        if not self.is_leading:
             self._follow(host, now)
 
-    def _should_yield_to(self, other: Peer) -> bool:
-        return self.role is Role.LEADING and other.rank < self.me.rank
-
     def _hear_while_following(self, reply: PollReply, now: float) -> None:
         if reply.sender.host != self.leader:
             return
@@ -169,7 +186,7 @@
                 host for host in reply.successors if host != self.me.host
             )
             if is_proxy:
-                self._know(str(reply.leader), now)
+                self._hosts.note(str(reply.leader))
             return
         self._suspected = None
         if reply.leader not in {None, self.me.host, self.leader}:
@@ -182,26 +199,42 @@
             self._follow(reply.sender.host, now)
             return
         if reply.leader in {None, self.me.host}:
-            if reply.sender.rank < self.me.rank and not reply.is_leaving:
+            is_better = reply.sender.rank < self.me.rank
+            if is_better and not reply.is_leaving:
                 self._better_at = now
             return
-        self._know(str(reply.leader), now)
+        self._hosts.note(str(reply.leader))
         is_suspect = reply.leader == self._suspected
-        if is_suspect and now > self._since(now) + PROXY_SECONDS:
+        if is_suspect:
+            self._better_at = now
+        if is_suspect and now > self._seeking_since + PROXY_SECONDS:
             # It still hears a leader that cannot be reached from here.
             self._follow(reply.sender.host, now)
             self._proxy = reply.sender.host
         elif not is_suspect:
             self._successors = (str(reply.leader), *self._successors)
 
+    def _doubt(self, now: float) -> None:
+        """Asks the leader at once, since another VM has lost it."""
+        if self.role is Role.FOLLOWING and self._doubted_at is None:
+            self._doubted_at = now
+            self._next_poll = now
+
     def _check_leader(self, now: float) -> None:
-        if now > self._heard_at + SILENT_SECONDS:
+        doubted_at = self._doubted_at
+        if doubted_at is not None and self._heard_at >= doubted_at:
+            self._doubted_at = None
+            return
+        is_lost = now > self._heard_at + SILENT_SECONDS
+        if doubted_at is not None:
+            is_lost = is_lost or now > doubted_at + DOUBT_SECONDS
+        if is_lost:
             self._seek(now)
 
     def _try_claim(self, now: float) -> None:
         if self.is_leaving:
             return
-        waited = now - self._since(now)
+        waited = now - self._seeking_since
         needed = CLAIM_SECONDS
         if self._is_first_search:
             needed = CLAIM_AT_START_SECONDS
@@ -212,17 +245,14 @@
         if waited > needed:
             self._lead(now)
 
-    def _since(self, now: float) -> float:
-        if self._seeking_since is None:
-            self._seeking_since = now
-        return self._seeking_since
-
     def _seek(self, now: float) -> None:
         self._suspected = self.leader
         self.role = Role.SEEKING
         self.leader = None
         self._proxy = None
         self._seeking_since = now
+        self._hosts.start_over()
+        self._doubted_at = None
         self._better_at = -math.inf
         self._next_poll = now
 
@@ -234,6 +264,7 @@
         self._heard_at = now
         self._next_poll = now
         self._suspected = None
+        self._doubted_at = None
 
     def _lead(self, now: float) -> None:
         self.role = Role.LEADING
@@ -243,47 +274,23 @@
         self._suspected = None
         self._next_poll = now
 
-    def _notice_freeze(self, now: float) -> None:
-        last = self._last_tick
-        self._last_tick = now
-        if last is None or now < last + FROZEN_SECONDS:
-            return
-        if self.role is Role.LEADING:
-            # Others may have taken over meanwhile.
-            self._seek(now)
-            self._suspected = None
-
     def _due_polls(self, now: float) -> tuple[str, ...]:
         if self.role is Role.FOLLOWING:
             self._next_poll = now + POLL_SECONDS
             return (str(self.leader),)
         if self.role is Role.LEADING:
-            self._next_poll = now + MERGE_SECONDS
-            others = [
-                host
-                for host in self._others(now)
-                if not self.followers.has(host)
-            ]
-            return self._next_of(others, 2)
+            share = self.followers.share(now, is_leading=True)
+            is_lonely = share <= LONELY_SHARE
+            pause = LONELY_MERGE_SECONDS if is_lonely else MERGE_SECONDS
+            self._next_poll = now + pause
+            return self._hosts.next_of(
+                self.seeds,
+                frozenset((self.me.host, *self.followers.hosts())),
+                SEEK_WIDTH if is_lonely else MERGE_WIDTH,
+            )
         self._next_poll = now + SEEK_SECONDS
-        return self._next_of(self._others(now), SEEK_WIDTH)
-
-    def _others(self, now: float) -> list[str]:
-        hosts = dict.fromkeys((*self._successors, *self.seeds, *self._known))
-        hosts.pop(self.me.host, None)
-        return list(hosts)
-
-    def _next_of(self, hosts: list[str], width: int) -> tuple[str, ...]:
-        """Returns the first successors each time, the others in turn."""
-        first = hosts[: width // 2 + 1]
-        rest = hosts[width // 2 + 1 :]
-        if not rest:
-            return tuple(first)
-        self._turn = (self._turn + 1) % len(rest)
-        return (*first, rest[self._turn])
-
-    def _know(self, host: str, now: float) -> None:
-        self._known.pop(host, None)
-        self._known[host] = now
-        while len(self._known) > MAX_KNOWN:
-            self._known.pop(next(iter(self._known)))
+        return self._hosts.next_of(
+            (*self._successors, *self.seeds),
+            frozenset((self.me.host,)),
+            SEEK_WIDTH,
+        )
--- a/packages/decisions/src/jacinthcroft_decisions/internal/membership/published_state.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/membership/published_state.py
@@ -5,7 +5,6 @@
 """
 
 import math
-from collections.abc import Iterable
 from typing import Final
 
 from attrs import define, evolve, field, frozen
@@ -96,7 +95,8 @@
 
     def confirm(self, at: float) -> None:
         """Notes that the platform vouched for this copy at some time."""
-        if at - self.confirmed_at > ABSENCE_SECONDS:
+        is_first = self.confirmed_at == -math.inf
+        if not is_first and at - self.confirmed_at > ABSENCE_SECONDS:
             self._returned_at = at
         self.confirmed_at = max(self.confirmed_at, at)
 
@@ -114,16 +114,19 @@
         return Changes(newer, self.version, is_whole=False)
 
     def _put(self, item: Item, known: Item | None, now: float) -> None:
-        if item.value is None and known is not None and known.value:
-            if self._may_have_lapsed(now) and known.kept_until is None:
-                item = evolve(
-                    item,
-                    value=known.value,
-                    kept_until=now + LAPSE_GRACE_SECONDS,
-                )
+        if known is not None and self._may_have_lapsed(item, known, now):
+            item = evolve(
+                item,
+                value=known.value,
+                kept_until=now + LAPSE_GRACE_SECONDS,
+            )
         self._items[item.key] = item
 
-    def _may_have_lapsed(self, now: float) -> bool:
+    def _may_have_lapsed(self, item: Item, known: Item, now: float) -> bool:
+        if item.value is not None or known.value is None:
+            return False
+        if known.kept_until is not None:
+            return False
         is_back = now < self._returned_at + LATE_LAPSE_SECONDS
         return is_back or self.age(now) > ABSENCE_SECONDS
 
--- /dev/null
+++ b/tests/cover/dispatch/dispatch_builders.py
@@ -0,0 +1,100 @@
+"""Short ways to make what the dispatch decisions are asked and told."""
+
+from typing import Any
+
+from attrs import evolve
+from jacinthcroft_decisions.dispatch import (
+    Ask,
+    CallerLimits,
+    Configuration,
+    Decider,
+    DispatchTerms,
+    FleetDocuments,
+    Route,
+    ServiceTerms,
+    TargetEntry,
+    TeamTerms,
+)
+
+SERVICE = 'history'
+TERMS = DispatchTerms(
+    retry_ratio=0.2,
+    retry_slack=60,
+    retry_window=10,
+    cold_factor=1.5,
+    cold_slack=5,
+    quota_overshoot=0.25,
+    quota_slack=20,
+)
+
+
+def make_target(number: int, **changes: Any) -> TargetEntry:
+    """Returns a ready target with two slots."""
+    entry = TargetEntry(
+        target_id=f't{number}',
+        service=SERVICE,
+        host=f'10.0.0.{number}',
+        port=80,
+        zone='a',
+        slots=2,
+        is_ready=True,
+        cold_left=0,
+        born=1,
+    )
+    return evolve(entry, **changes)
+
+
+def make_documents(
+    targets: list[TargetEntry],
+    rate: float = 0,
+    burst: float = 0,
+    evacuated: tuple[str, ...] = (),
+) -> FleetDocuments:
+    """Returns documents of one service and one team."""
+    route = Route(
+        name='r',
+        host='h',
+        prefix='/',
+        parts=((SERVICE, 1.0),),
+        is_repeatable=True,
+        is_open=False,
+        max_attempts=2,
+        rank=1,
+        timeout=1.5,
+        objective=0.8,
+    )
+    team = TeamTerms('team', frozenset((b'k',)), None, rate, burst)
+    return FleetDocuments(
+        Configuration(
+            1,
+            (route,),
+            {SERVICE: ServiceTerms(SERVICE, 300, 3.0, 2.5)},
+            {'team': team},
+            CallerLimits(1000, 1000, 1, 1),
+        ),
+        {target.target_id: target for target in targets},
+        frozenset(evacuated),
+    )
+
+
+def make_decider(targets: list[TargetEntry], **changes: Any) -> Decider:
+    """Returns a decider that knows these targets at time 0."""
+    decider = Decider.from_terms(TERMS)
+    decider.adopt(make_documents(targets, **changes), 0)
+    return decider
+
+
+def make_ask(number: int, **changes: Any) -> Ask:
+    """Returns an ask that may wait 1.5 s and run only once."""
+    ask = Ask(
+        vm='vm',
+        number=number,
+        service=SERVICE,
+        team='team',
+        is_repeatable=False,
+        attempt=1,
+        rank=1,
+        time_left=1.5,
+        objective_left=0.8,
+    )
+    return evolve(ask, **changes)
--- /dev/null
+++ b/tests/cover/dispatch/test_deciding.py
@@ -0,0 +1,248 @@
+"""Who gets which target, who waits, who is refused."""
+
+from typing import Any
+
+from jacinthcroft_decisions.dispatch import (
+    Decider,
+    Decision,
+    Grant,
+    Outcome,
+    Refusal,
+    RefusalReason,
+    Report,
+)
+
+from tests.cover.dispatch.dispatch_builders import (
+    make_ask,
+    make_decider,
+    make_documents,
+    make_target,
+)
+
+
+def _serve(
+    decider: Decider,
+    number: int,
+    now: float,
+    outcome: Outcome = Outcome.SERVED,
+    seconds: float = 0.2,
+    **ask: Any,
+) -> str:
+    grant = decider.decide(make_ask(number, **ask), 'a', now)
+    assert isinstance(grant, Grant)
+    decider.report(Report(grant.key, outcome, seconds), now + seconds)
+    return grant.target_id
+
+
+def _only(decisions: list[Decision]) -> Decision:
+    assert len(decisions) == 1
+    return decisions[0]
+
+
+def test_a_target_never_gets_more_than_its_slots() -> None:
+    decider = make_decider([make_target(1)])
+    decisions = [decider.decide(make_ask(number), 'a', 0) for number in (1, 2)]
+    assert all(isinstance(decision, Grant) for decision in decisions)
+    assert decider.decide(make_ask(3), 'a', 0) is None
+
+
+def test_a_freed_slot_goes_to_the_request_that_waits() -> None:
+    decider = make_decider([make_target(1)])
+    for number in (1, 2, 3):
+        decider.decide(make_ask(number), 'a', 0)
+    report = Report(('vm', 1), Outcome.SERVED, 0.2)
+    grant = _only(decider.report(report, 0.2))
+    assert grant.key == ('vm', 3)
+
+
+def test_an_ask_that_comes_again_gets_the_same_decision() -> None:
+    decider = make_decider([make_target(1), make_target(2)])
+    first = decider.decide(make_ask(1), 'a', 0)
+    assert decider.decide(make_ask(1), 'a', 0.1) == first
+    assert decider.running == 1
+
+
+def test_a_once_only_request_avoids_a_target_that_just_hung() -> None:
+    decider = make_decider([make_target(1), make_target(2)])
+    hung = _serve(decider, 1, 0, Outcome.SILENT, 1.5)
+    chosen = {_serve(decider, number, 2 + number) for number in (2, 3, 4)}
+    assert hung not in chosen
+
+
+def test_a_repeatable_request_finds_out_whether_a_target_is_well_again() -> (
+    None
+):
+    decider = make_decider([make_target(1), make_target(2)])
+    hung = _serve(decider, 1, 0, Outcome.SILENT, 1.5)
+    _serve(decider, 2, 1.5)
+    assert _serve(decider, 3, 4, is_repeatable=True) == hung
+
+
+def test_a_target_with_an_old_running_request_is_left_to_repeatable_ones() -> (
+    None
+):
+    decider = make_decider([make_target(1), make_target(2)])
+    _serve(decider, 1, 0)
+    _serve(decider, 2, 0.3)
+    hanging = decider.decide(make_ask(3), 'a', 1)
+    assert isinstance(hanging, Grant)
+    assert _serve(decider, 4, 2) != hanging.target_id
+    assert _serve(decider, 5, 2.5) != hanging.target_id
+
+
+def test_a_request_that_cannot_be_served_in_time_is_refused_at_once() -> None:
+    decider = make_decider([make_target(1)])
+    refused = [
+        decision
+        for number in range(40)
+        if isinstance(
+            decision := decider.decide(make_ask(number), 'a', 0),
+            Refusal,
+        )
+    ]
+    assert refused
+    assert all(one.reason is RefusalReason.FULL for one in refused)
+    assert all(one.retry_after and one.retry_after > 0 for one in refused)
+
+
+def test_what_waits_is_refused_before_its_caller_leaves() -> None:
+    decider = make_decider([make_target(1)])
+    for number in (1, 2):
+        decider.decide(make_ask(number, time_left=9), 'a', 0)
+    assert decider.decide(make_ask(3), 'a', 0) is None
+    refusal = _only(decider.tick(1.45))
+    assert isinstance(refusal, Refusal)
+
+
+def test_the_more_urgent_request_is_served_first() -> None:
+    decider = make_decider([make_target(1)])
+    for number in (1, 2):
+        decider.decide(make_ask(number), 'a', 0)
+    decider.decide(make_ask(3, rank=5), 'a', 0.01)
+    decider.decide(make_ask(4, rank=0), 'a', 0.02)
+    grant = _only(decider.report(Report(('vm', 1), Outcome.SERVED, 0.2), 0.2))
+    assert grant.key == ('vm', 4)
+
+
+def test_a_team_within_its_rate_and_burst_is_not_refused() -> None:
+    targets = [make_target(number) for number in range(20)]
+    decider = make_decider(targets, rate=10, burst=10)
+    for number in range(100):
+        _serve(decider, number, number * 0.1, seconds=0.05)
+
+
+def test_a_team_gets_no_more_than_its_tolerance_in_any_window() -> None:
+    targets = [make_target(number, slots=50) for number in range(20)]
+    decider = make_decider(targets, rate=10, burst=10)
+    granted = []
+    for step in range(1000):
+        at = step * 0.01
+        decision = decider.decide(make_ask(step), 'a', at)
+        if isinstance(decision, Grant):
+            granted.append(at)
+            decider.report(Report(decision.key, Outcome.SERVED, 0.2), at)
+    bound = (10 * 5 + 10) * 1.25 + 20
+    for start in granted:
+        assert sum(start <= at < start + 5 for at in granted) <= bound
+
+
+def test_a_cold_target_gets_a_trickle_only() -> None:
+    cold = make_target(1, cold_left=3, slots=50)
+    decider = make_decider([cold])
+    granted = []
+    for step in range(290):
+        at = step * 0.01
+        ask = make_ask(step, time_left=0.3)
+        decision = decider.decide(ask, 'a', at)
+        decisions = [decision, *decider.tick(at)]
+        granted += [at for one in decisions if isinstance(one, Grant)]
+    for start in granted:
+        assert sum(start <= at < start + 1 for at in granted) <= 2.5 * 1.5 + 5
+
+
+def test_nothing_goes_to_an_evacuated_zone() -> None:
+    decider = make_decider([make_target(1)])
+    documents = make_documents([make_target(1)], evacuated=('a',))
+    decider.adopt(documents, 1)
+    decision = decider.decide(make_ask(1), 'a', 1)
+    assert isinstance(decision, Refusal)
+    assert decision.reason is RefusalReason.NO_TARGET
+
+
+def test_nothing_goes_to_a_draining_target() -> None:
+    decider = make_decider([make_target(1), make_target(2)])
+    left = [make_target(1, is_ready=False), make_target(2)]
+    decider.adopt(make_documents(left), 1)
+    assert {_serve(decider, number, number) for number in (2, 3)} == {'t2'}
+
+
+def test_repeated_sends_stay_within_the_budget() -> None:
+    targets = [make_target(number, slots=500) for number in range(20)]
+    decider = make_decider(targets)
+    repeats = 0
+    for number in range(1000):
+        at = number * 0.01
+        _serve(decider, 2 * number, at, seconds=0.01)
+        again = make_ask(2 * number + 1, attempt=2, is_repeatable=True)
+        decision = decider.decide(again, 'a', at)
+        if isinstance(decision, Grant):
+            repeats += 1
+            decider.report(Report(decision.key, Outcome.SERVED, 0.01), at)
+    assert repeats <= 1000 * 0.2 + 60
+
+
+def test_a_request_that_breaks_three_targets_is_refused() -> None:
+    targets = [make_target(number) for number in range(5)]
+    decider = make_decider(targets)
+    for number in range(3):
+        _serve(decider, number, number * 5, Outcome.BROKEN, fingerprint='f')
+    decision = decider.decide(make_ask(9, fingerprint='f'), 'a', 16)
+    assert isinstance(decision, Refusal)
+    assert decision.reason is RefusalReason.CRASHING
+
+
+def test_an_answer_clears_a_request_of_earlier_breaks() -> None:
+    targets = [make_target(number) for number in range(5)]
+    decider = make_decider(targets)
+    for number in range(2):
+        _serve(decider, number, number * 5, Outcome.BROKEN, fingerprint='f')
+    _serve(decider, 5, 12, fingerprint='f')
+    _serve(decider, 6, 14, Outcome.BROKEN, fingerprint='f')
+    _serve(decider, 7, 20, fingerprint='f')
+
+
+def test_sends_of_a_vm_that_is_gone_free_their_slots() -> None:
+    decider = make_decider([make_target(1)])
+    for number in (1, 2):
+        decider.decide(make_ask(number), 'a', 0)
+    decider.drop_vm('vm')
+    assert isinstance(decider.decide(make_ask(3), 'a', 0.1), Grant)
+
+
+def test_a_new_deciding_vm_counts_what_others_granted() -> None:
+    decider = make_decider([make_target(1)])
+    for number in (1, 2):
+        ask = make_ask(number, vm='other')
+        decider.adopt_running(ask, 't1', 0.1, 1)
+    assert decider.decide(make_ask(3), 'a', 1) is None
+
+
+def test_a_grant_that_its_vm_does_not_list_is_taken_back() -> None:
+    decider = make_decider([make_target(1)])
+    for number in (1, 2):
+        decider.decide(make_ask(number), 'a', 0)
+    decider.keep_only('vm', frozenset((1,)), 1)
+    assert decider.running == 1
+
+
+def test_a_vm_without_a_path_to_a_target_is_sent_elsewhere() -> None:
+    decider = make_decider([make_target(1), make_target(2)])
+    blocked = _serve(decider, 1, 0, Outcome.UNREACHABLE)
+    assert _serve(decider, 2, 1) != blocked
+    assert _serve(decider, 3, 1.5) != blocked
+    others = [
+        decider.decide(make_ask(number, vm='other'), 'a', 2)
+        for number in (4, 5, 6, 7)
+    ]
+    targets = {one.target_id for one in others if isinstance(one, Grant)}
+    assert blocked in targets
--- /dev/null
+++ b/tests/cover/membership/test_leadership.py
@@ -0,0 +1,199 @@
+"""Who decides for whom, played without a network."""
+
+import pytest
+from jacinthcroft_decisions.membership import (
+    Leadership,
+    Peer,
+    Poll,
+    PollReply,
+    Role,
+)
+
+STEP = 0.05
+
+
+class Fleet:
+    """VMs that poll each other over links that can be cut."""
+
+    def __init__(self, count: int, seeds: int = 3) -> None:
+        """Starts so many VMs, the first of them seeds."""
+        self.now = 0.0
+        self.seeds = tuple(f'h{number}' for number in range(seeds))
+        self.vms: dict[str, Leadership] = {}
+        self.cut: set[frozenset[str]] = set()
+        for number in range(count):
+            self.start(f'h{number}', number)
+
+    def start(self, host: str, rank: int, incarnation: int = 1) -> None:
+        peer = Peer(host, f'z{rank % 3}', incarnation, (0, rank))
+        self.vms[host] = Leadership(peer, self.seeds)
+
+    def stop(self, host: str) -> Leadership:
+        return self.vms.pop(host)
+
+    def run(self, seconds: float) -> None:
+        for _ in range(int(seconds / STEP)):
+            self.now += STEP
+            for host in list(self.vms):
+                for polled in self.vms[host].tick(self.now):
+                    self._poll(host, polled)
+
+    def leaders(self) -> set[str]:
+        return {host for host, vm in self.vms.items() if vm.is_leading}
+
+    def the_leader(self) -> str:
+        """Returns who leads, and checks that nobody else does."""
+        leaders = self.leaders()
+        assert len(leaders) == 1
+        return leaders.pop()
+
+    def _reaches(self, one: str, other: str) -> bool:
+        return other in self.vms and frozenset((one, other)) not in self.cut
+
+    def _poll(self, host: str, polled: str) -> None:
+        if not self._reaches(host, polled):
+            return
+        asker = self.vms[host]
+        asked = self.vms[polled]
+        is_following = asker.leader == polled
+        poll = Poll(
+            asker.me,
+            asker.is_leading,
+            is_following,
+            wants_reader=False,
+            suspects=asker.suspected,
+        )
+        asked.hear_poll(poll, self.now)
+        reply = PollReply(
+            asked.me,
+            asked.is_leading,
+            asked.is_leaving,
+            asked.leader,
+            asked.successors,
+            asked.followers.next_hosts(),
+            len(self.vms),
+            1,
+            0.1,
+        )
+        asker.hear_reply(reply, self.now)
+
+
+def test_all_follow_one_after_they_start_together() -> None:
+    fleet = Fleet(12)
+    fleet.run(4)
+    leader = fleet.the_leader()
+    assert {vm.leader for vm in fleet.vms.values()} == {leader}
+
+
+def test_another_one_leads_soon_after_the_leader_is_gone() -> None:
+    fleet = Fleet(12)
+    fleet.run(4)
+    leader = fleet.the_leader()
+    fleet.stop(leader)
+    fleet.run(2.5)
+    successor = fleet.the_leader()
+    assert {vm.leader for vm in fleet.vms.values()} == {successor}
+
+
+def test_suspicion_finds_a_successor_within_a_second() -> None:
+    fleet = Fleet(12)
+    fleet.run(4)
+    leader = fleet.the_leader()
+    fleet.stop(leader)
+    fleet.run(0.4)
+    for vm in fleet.vms.values():
+        vm.suspect(fleet.now)
+    fleet.run(0.8)
+    assert len(fleet.leaders()) == 1
+
+
+def test_a_restarted_leader_follows_its_successor() -> None:
+    fleet = Fleet(12)
+    fleet.run(4)
+    leader = fleet.the_leader()
+    rank = fleet.stop(leader).me.rank[1]
+    fleet.run(3)
+    successor = fleet.the_leader()
+    fleet.start(leader, rank, incarnation=2)
+    fleet.run(3)
+    assert fleet.leaders() == {successor}
+
+
+def test_a_leader_that_resigns_names_who_takes_over() -> None:
+    fleet = Fleet(6)
+    fleet.run(4)
+    leader = fleet.the_leader()
+    successor = fleet.vms[leader].resign()
+    assert successor is not None
+    fleet.vms[successor].take_over(fleet.now)
+    fleet.run(1)
+    assert fleet.leaders() == {successor}
+
+
+def test_two_halves_that_meet_again_follow_one() -> None:
+    fleet = Fleet(8)
+    fleet.run(4)
+    halves = (['h0', 'h1', 'h4', 'h5'], ['h2', 'h3', 'h6', 'h7'])
+    fleet.cut = {frozenset((a, b)) for a in halves[0] for b in halves[1]}
+    fleet.run(6)
+    assert len(fleet.leaders()) == 2
+    fleet.cut = set()
+    fleet.run(5)
+    assert len(fleet.leaders()) == 1
+
+
+def test_a_vm_that_cannot_reach_the_leader_follows_one_that_can() -> None:
+    fleet = Fleet(8)
+    fleet.run(4)
+    leader = fleet.the_leader()
+    cut_off = next(host for host in fleet.vms if host != leader)
+    fleet.cut = {frozenset((cut_off, leader))}
+    fleet.run(4)
+    assert fleet.vms[cut_off].role is Role.FOLLOWING
+    assert fleet.vms[cut_off].leader not in {leader, None}
+    assert fleet.leaders() == {leader}
+
+
+def test_a_vm_alone_decides_for_itself() -> None:
+    fleet = Fleet(1, seeds=1)
+    fleet.run(3)
+    assert fleet.leaders() == {'h0'}
+
+
+def test_a_leader_that_stood_still_looks_whether_another_one_leads() -> None:
+    fleet = Fleet(4)
+    fleet.run(4)
+    leader = fleet.the_leader()
+    frozen = fleet.stop(leader)
+    fleet.run(3)
+    fleet.vms[leader] = frozen
+    fleet.run(2)
+    assert len(fleet.leaders()) == 1
+    assert fleet.leaders() != {leader}
+
+
+@pytest.mark.parametrize('killed', [6, 9, 11])
+def test_the_rest_goes_on_when_many_are_gone_at_once(killed: int) -> None:
+    fleet = Fleet(12)
+    fleet.run(4)
+    for number in range(killed):
+        fleet.stop(f'h{number}')
+    fleet.run(6)
+    assert len(fleet.leaders()) == 1
+
+
+def test_a_fleet_that_restarts_whole_finds_itself() -> None:
+    fleet = Fleet(12)
+    fleet.run(4)
+    for number in range(12):
+        fleet.stop(f'h{number}')
+    for number in range(12):
+        fleet.start(f'h{number}', number, incarnation=2)
+    fleet.run(4)
+    assert len(fleet.leaders()) == 1
+
+
+def test_a_vm_that_started_into_the_unknown_takes_a_small_share() -> None:
+    vm = Fleet(1, seeds=1).vms['h0']
+    assert vm.followers.share(0, is_leading=True) <= 0.125
+    assert vm.followers.share(20, is_leading=True) > 0.99
