--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/decider.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/decider.py
@@ -124,6 +124,7 @@
             return self._remember(self._no_target(ask))
         if ask.key in self._waiting_at:
             return None
+        board.rates.note(ask.rank, now)
         refusal = self._refuse_early(ask, board, now)
         if refusal is not None:
             return self._remember(refusal)
@@ -235,9 +236,7 @@
         now: float,
     ) -> Decision | None:
         ask = waiting.ask
-        mean = board.norm.mean_seconds
-        slots = board.usable_slots(now)
-        retry_after = board.queue.refuse_after(ask, slots, mean)
+        retry_after = board.queue.refuse_after(ask, board.room(now), now)
         if retry_after is not None:
             return self._refuse(ask, RefusalReason.FULL, retry_after)
         board.queue.add(waiting)
@@ -246,12 +245,14 @@
 
     def _pump(self, board: ServiceBoard, now: float) -> list[Decision]:
         decisions: list[Decision] = []
-        mean = board.norm.mean_seconds
-        for hopeless in board.queue.hopeless(now, mean):
+        if not len(board.queue):
+            return decisions
+        for hopeless in board.queue.hopeless(board.room(now), now):
             self._forget_waiting(hopeless.ask.key)
             decisions.append(
                 self._refuse(hopeless.ask, RefusalReason.FULL, None),
             )
+        mean = board.norm.mean_seconds
         for waiting in board.queue.in_order(now, mean):
             grant = self._place(board, waiting, now)
             if grant is not None:
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/placement.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/placement.py
@@ -19,8 +19,8 @@
 
 # Parts of the time to the objective after which a request that may run only
 # once takes a doubtful target, or one that is left alone, over waiting on.
-DOUBTFUL_AFTER: Final = 0.35
-AVOIDED_AFTER: Final = 0.7
+DOUBTFUL_AFTER: Final = 0.2
+AVOIDED_AFTER: Final = 0.5
 
 # Costs that are compared between targets of the same standing: another
 # running request, a new connection, another zone, and each MiB of body sent
@@ -30,6 +30,12 @@
 ZONE_COST: Final = 0.15
 ZONE_BODY_COST_PER_MIB: Final = 16.0
 COLD_COST: Final = 2.0
+# What a second since the last proof of health costs a request that may run
+# only once, and what finding out is worth for one that may be repeated.
+STALE_COST: Final = 2.0
+PROBE_GAIN: Final = 1.0
+# Proof that is older than this is no proof, in seconds.
+MAX_STALE_SECONDS: Final = 3.0
 _MIB: Final = 1048576
 
 
@@ -119,4 +125,7 @@
         cost += COLD_COST
     if record.mean_latency is not None:
         cost += record.mean_latency / norm.mean_seconds
-    return cost
+    stale = min(MAX_STALE_SECONDS, now - record.proven_at)
+    if ask.is_repeatable and ask.attempt == 1:
+        return cost - stale * PROBE_GAIN
+    return cost + stale * STALE_COST
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/service_board.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/service_board.py
@@ -5,6 +5,9 @@
 
 from attrs import define, field
 
+from jacinthcroft_decisions.internal.dispatch.arrival_rates import (
+    ArrivalRates,
+)
 from jacinthcroft_decisions.internal.dispatch.cold_allowance import (
     ColdAllowance,
 )
@@ -22,7 +25,10 @@
     Standing,
     TargetRecord,
 )
-from jacinthcroft_decisions.internal.dispatch.wait_queue import WaitQueue
+from jacinthcroft_decisions.internal.dispatch.wait_queue import (
+    Room,
+    WaitQueue,
+)
 from jacinthcroft_decisions.internal.traffic.retry_budget import RetryBudget
 
 # Mean latency that a service starts with, in seconds.
@@ -34,6 +40,8 @@
 HANG_FACTOR: Final = 2.2
 MIN_HANG_SECONDS: Final = 0.2
 MAX_HANG_SECONDS: Final = 1.0
+# Part of its free slots that a doubtful target is counted with.
+DOUBTFUL_SHARE: Final = 0.5
 # Targets that are missing from the list keep their record for so long, in
 # seconds, since their entry may only have lapsed.
 FORGET_SECONDS: Final = 10.0
@@ -47,6 +55,7 @@
     budget: RetryBudget
     queue: WaitQueue = field(factory=WaitQueue)
     records: dict[str, TargetRecord] = field(factory=dict)
+    rates: ArrivalRates = field(factory=ArrivalRates)
     _usable: set[str] = field(factory=set)
     _cold: dict[str, ColdAllowance] = field(factory=dict)
     _mean: float = STARTING_MEAN_SECONDS
@@ -78,15 +87,10 @@
         for target in list(self.records):
             self._forget_if_gone(target, now)
 
-    def usable_slots(self, now: float) -> int:
-        """Returns the slots of targets that are not left alone."""
-        norm = self.norm
-        return sum(
-            record.entry.slots
-            for record in self.usable
-            if record.standing(now, norm.hang_seconds, norm.mean_seconds)
-            <= Standing.UNKNOWN
-        )
+    def room(self, now: float) -> Room:
+        """Returns what the targets serve, doubtful ones in part."""
+        slots = sum(self._slots_of(record, now) for record in self.usable)
+        return Room(slots / self._mean, self._mean, self.rates)
 
     def choose(
         self,
@@ -113,6 +117,14 @@
         """Takes an answer's latency into the mean."""
         self._mean += (seconds - self._mean) * MEAN_WEIGHT
 
+    def _slots_of(self, record: TargetRecord, now: float) -> float:
+        norm = self.norm
+        standing = record.standing(now, norm.hang_seconds, norm.mean_seconds)
+        if standing <= Standing.UNKNOWN:
+            return record.entry.slots
+        free = record.entry.slots - len(record.running)
+        return max(0, free) * DOUBTFUL_SHARE
+
     def _may_get(
         self,
         record: TargetRecord,
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/target_record.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/target_record.py
@@ -12,11 +12,12 @@
     Outcome,
 )
 
-# How long a target that failed is left alone, in seconds; gray failures last
-# for some seconds, so an earlier request would mostly meet the same one.
-AVOID_SECONDS: Final = 1.5
+# How long a target that failed is left alone, in seconds. After that it gets
+# requests that may be repeated, and others only when nothing better is free;
+# longer pauses cost more room than they save requests (docs/MEASURES.md).
+AVOID_SECONDS: Final = 0.7
 # Repeated failures double it up to this many seconds.
-MAX_AVOID_SECONDS: Final = 6.0
+MAX_AVOID_SECONDS: Final = 3.0
 # One error status is an ordinary answer; this many in a row are a sign.
 ERRORS_IN_A_ROW: Final = 2
 # Weight of the newest latency in a target's mean.
@@ -59,6 +60,9 @@
     mean_latency: float | None = None
     last_used: float = -math.inf
     served_at: float = -math.inf
+    # When the latest request was sent that was served: until then the target
+    # was well.
+    proven_at: float = -math.inf
     _trouble_at: float = -math.inf
     _avoid_seconds: float = AVOID_SECONDS
     _errors: int = 0
@@ -127,6 +131,7 @@
             self.paths.pop(vm, None)
         if outcome is Outcome.SERVED:
             self._take_success(seconds, now)
+            self.proven_at = max(self.proven_at, started)
         elif outcome is Outcome.ERROR:
             self._take_error(now)
         elif outcome is Outcome.UNREACHABLE:
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/wait_queue.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/wait_queue.py
@@ -7,14 +7,20 @@
 
 from typing import Final
 
-from attrs import define, field
+from attrs import define, field, frozen
 
+from jacinthcroft_decisions.internal.dispatch.arrival_rates import (
+    ArrivalRates,
+)
 from jacinthcroft_decisions.internal.dispatch.messages import Ask, AskKey
 
-# Asks that wait at a time, for each usable slot; longer queues only make
-# everybody late.
-MAX_WAITING_PER_SLOT: Final = 6
-MIN_WAITING: Final = 8
+# Part of the room that is left to the least urgent, and the least requests a
+# second that are counted on, where more urgent ones take all of it.
+LEAST_ROOM_SHARE: Final = 0.05
+LEAST_ROOM: Final = 0.5
+# Part of the expected wait that must not fit any more before one that waits
+# already is refused: the estimate is rough.
+SURE_SHARE: Final = 0.6
 # Part of the usual service time that must be left to begin at all.
 LAST_START_SHARE: Final = 0.8
 # Shortest wait that is told to a caller, in seconds.
@@ -48,9 +54,22 @@
     return (waiting.ask.rank, int(is_late), waiting.since)
 
 
-def expected_wait(ahead: int, usable_slots: int, mean: float) -> float:
-    """Returns how long an ask with so many ahead will wait, in seconds."""
-    return (ahead + 1) * mean / max(1, usable_slots)
+@frozen
+class Room:
+    """What a service serves: `per_second` requests of `mean` seconds."""
+
+    per_second: float
+    mean: float
+    rates: ArrivalRates
+
+    def wait(self, ahead: int, rank: int, now: float) -> float:
+        """Returns how long an ask with so many ahead will wait, in seconds.
+
+        More urgent requests that come meanwhile go first as well.
+        """
+        urgent = self.rates.more_urgent_than(rank, now)
+        least = self.per_second * LEAST_ROOM_SHARE
+        return (ahead + 1) / max(least, self.per_second - urgent, LEAST_ROOM)
 
 
 @define
@@ -84,27 +103,24 @@
             key=lambda waiting: order_of(waiting, now, mean),
         )
 
-    def hopeless(self, now: float, mean: float) -> list[Waiting]:
-        """Returns those that can no longer be served in time."""
-        last_start = now + mean * LAST_START_SHARE
+    def hopeless(self, room: Room, now: float) -> list[Waiting]:
+        """Returns those that will not be served in time as things stand."""
+        needed = room.mean * LAST_START_SHARE
         return [
             waiting
-            for waiting in self._waiting.values()
-            if waiting.deadline < last_start
+            for ahead, waiting in enumerate(self.in_order(now, room.mean))
+            if now
+            + room.wait(ahead, waiting.ask.rank, now) * SURE_SHARE
+            + needed
+            > waiting.deadline
         ]
 
-    def refuse_after(
-        self,
-        ask: Ask,
-        usable_slots: int,
-        mean: float,
-    ) -> float | None:
+    def refuse_after(self, ask: Ask, room: Room, now: float) -> float | None:
         """Returns the `Retry-After` of an ask that must not wait, or None."""
         ahead = sum(
             other.ask.rank <= ask.rank for other in self._waiting.values()
         )
-        wait = expected_wait(ahead, usable_slots, mean)
-        bound = max(MIN_WAITING, usable_slots * MAX_WAITING_PER_SLOT)
-        if ahead >= bound or wait + mean * LAST_START_SHARE > ask.time_left:
+        wait = room.wait(ahead, ask.rank, now)
+        if wait + room.mean * LAST_START_SHARE > ask.time_left:
             return max(MIN_RETRY_SECONDS, wait)
         return None
