Reload settings, metrics page, whole-path tests of a seeded fleet

The tests found: a repeatable request whose second send was refused once was never asked for again; a new deciding VM had no repeats at all, so that a request that a target turned down was refused to its caller; SIGHUP ended the process. All are mended.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/decision_desk.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/decision_desk.py
@@ -3,13 +3,20 @@
 from typing import Any, Final
 
 from attrs import define, field
-from jacinthcroft_decisions.dispatch import Ask, Decider, Decision, Outcome
+from jacinthcroft_decisions.dispatch import (
+    Ask,
+    Decider,
+    Decision,
+    Outcome,
+    Refusal,
+)
 from jacinthcroft_decisions.membership import Leadership
 from jacinthcroft_http import now
 
 from jacinthcroft_daemon.internal.seeded.datagrams import Datagrams
 from jacinthcroft_daemon.internal.seeded.decision_link import DecisionLink
 from jacinthcroft_daemon.internal.seeded.documents_copy import DocumentsCopy
+from jacinthcroft_daemon.internal.seeded.vm_metrics import VmMetrics
 from jacinthcroft_daemon.internal.seeded.wire import (
     Kind,
     pack,
@@ -19,6 +26,7 @@
     unpack_refusal,
     unpack_report,
 )
+from jacinthcroft_daemon.internal.telemetry.counts import Count
 from jacinthcroft_daemon.internal.telemetry.events import log_event
 
 _MILLIS: Final = 1000
@@ -33,6 +41,7 @@
     decider: Decider
     datagrams: Datagrams
     documents: DocumentsCopy
+    metrics: VmMetrics
     link: DecisionLink = field(init=False)
 
     def register(self) -> None:
@@ -63,6 +72,10 @@
     def deliver(self, decision: Decision) -> None:
         """Hands a decision to the VM that asked."""
         host = decision.key[0]
+        kind = 'granted'
+        if isinstance(decision, Refusal):
+            kind = decision.reason.name.lower()
+        self.metrics.count(Count.DECISIONS, kind)
         if host == self.leadership.me.host:
             self.link.take(decision)
         else:
@@ -105,7 +118,7 @@
         if decision is None:
             self.datagrams.send(host, pack(Kind.WAITING, ask.number))
         else:
-            self.datagrams.send(host, pack_decision(decision))
+            self.deliver(decision)
 
     def _on_grant(self, _: str, fields: list[Any]) -> None:
         self.link.take(unpack_grant(self.leadership.me.host, fields))
--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/reader.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/reader.py
@@ -14,6 +14,8 @@
     Store,
 )
 from jacinthcroft_daemon.internal.seeded.documents_copy import DocumentsCopy
+from jacinthcroft_daemon.internal.seeded.vm_metrics import VmMetrics
+from jacinthcroft_daemon.internal.telemetry.counts import Count
 from jacinthcroft_daemon.internal.telemetry.events import log_event
 
 # How long a call waits for changes, in seconds. The answer confirms that
@@ -37,6 +39,7 @@
     _copy: DocumentsCopy
     _is_leading: Callable[[], bool]
     _on_change: Callable[[], None]
+    _metrics: VmMetrics
     _at: int = 0
     _failures: int = 0
     _on_behalf_until: float = 0
@@ -79,6 +82,9 @@
             )
         else:
             outcome = await self._store.read_all()
+        is_failure = isinstance(outcome, ReadFailure)
+        label = 'failed' if is_failure else 'answered'
+        self._metrics.count(Count.PLATFORM_READS, label)
         if isinstance(outcome, ReadFailure):
             return self._note_failure(outcome)
         if self._failures:
--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/request_flow.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/request_flow.py
@@ -34,12 +34,16 @@
 from jacinthcroft_daemon.internal.seeded.admission import Admission, Admitted
 from jacinthcroft_daemon.internal.seeded.decision_link import DecisionLink
 from jacinthcroft_daemon.internal.seeded.sender import Sender, SendResult
+from jacinthcroft_daemon.internal.seeded.vm_metrics import VmMetrics
+from jacinthcroft_daemon.internal.telemetry.counts import Count
 from jacinthcroft_daemon.internal.telemetry.events import log_event
 
 # Targets that may turn a request down, unrun, before its caller is told.
 MAX_TURNED_DOWN: Final = 4
 # What is told to callers where the deciding VM names no time, in seconds.
 RETRY_SECONDS: Final = 0.3
+# Between asks for a second target while the first send is under way, seconds.
+ASK_AGAIN_SECONDS: Final = 0.25
 FINGERPRINT_DIGITS: Final = 12
 
 _REASONS: Final = {
@@ -90,6 +94,7 @@
     _link: DecisionLink
     _sender: Sender
     _host: str
+    _metrics: VmMetrics
 
     async def serve(self, request: IncomingRequest) -> Response:
         """Returns the caller's answer."""
@@ -181,7 +186,8 @@
         finally:
             asking.cancel()
         if grant is None:
-            return None
+            # The budget for second sends fills up again with time.
+            return ASK_AGAIN_SECONDS if running else None
         running.add(asyncio.create_task(self._send(progress, grant)))
         return grant.patience
 
@@ -239,6 +245,7 @@
             self._link.report(grant.key[1], outcome, took)
             raise
         self._link.report(grant.key[1], result.outcome, result.seconds)
+        self._metrics.count(Count.SENDS, result.outcome.name.lower())
         if result.outcome in {Outcome.SHED, Outcome.MISPLACED}:
             progress.runs -= 1
             progress.turned_down += 1
@@ -263,6 +270,12 @@
 
     def _answer(self, progress: _Progress, result: SendResult) -> Response:
         assert result.response is not None
+        admitted = progress.admitted
+        self._metrics.record_request(
+            admitted.team_name or 'open',
+            'repeatable' if admitted.route.is_repeatable else 'once',
+            now() - admitted.arrived,
+        )
         return result.response
 
     def _give_up(self, progress: _Progress) -> Response:
@@ -292,6 +305,7 @@
         refusal: Refusal,
         request_id: str,
     ) -> Response:
+        self._metrics.count(Count.REFUSALS, refusal.reason.value)
         log_event(
             'info',
             'refused',
--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/vm.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/vm.py
@@ -17,6 +17,7 @@
     Response,
     Server,
     ServerLimits,
+    now,
 )
 
 from jacinthcroft_daemon.internal.pipeline.refusals import (
@@ -41,6 +42,7 @@
 from jacinthcroft_daemon.internal.seeded.reader import PlatformReader
 from jacinthcroft_daemon.internal.seeded.request_flow import RequestFlow
 from jacinthcroft_daemon.internal.seeded.sender import Sender
+from jacinthcroft_daemon.internal.seeded.vm_metrics import Gauges, VmMetrics
 from jacinthcroft_daemon.internal.telemetry.events import log_event
 
 # Connections to targets: kept for less than targets keep theirs, and opened
@@ -57,6 +59,9 @@
 NOTICE_SECONDS: Final = 2.6
 # Left of the grace for closing, in seconds.
 CLOSING_SECONDS: Final = 0.5
+METRICS_PATH: Final = '/metrics'
+# Stands for an age that is not known, in seconds.
+UNKNOWN_AGE_SECONDS: Final = 1e6
 _OK: Final = 200
 _NOT_READY: Final = 503
 _NOT_FOUND: Final = 404
@@ -75,6 +80,7 @@
     _datagrams: Datagrams
     _pools: tuple[ConnectionPool, ...]
     _flow: RequestFlow
+    _metrics: VmMetrics
     _is_stopping: bool = False
     _servers: dict[str, Server] = field(factory=dict)
 
@@ -99,11 +105,13 @@
             settings.terms.revoke_seconds,
         )
         pools = _make_pools()
+        metrics = VmMetrics()
         desk = DecisionDesk(
             leadership,
             Decider.from_terms(settings.terms),
             datagrams,
             documents,
+            metrics,
         )
         desk.link = DecisionLink(
             desk.decider,
@@ -131,7 +139,9 @@
                 desk.link,
                 Sender(pools[1], deployment.dialect, admission),
                 settings.host,
+                metrics,
             ),
+            metrics,
         )
 
     @property
@@ -143,6 +153,12 @@
             return False
         return self._copy.is_fresh or not self._settings.fails_closed
 
+    def reload(self, settings: SeededSettings) -> None:
+        """Takes the settings that may change while a VM runs: its seeds."""
+        self._leadership.seeds = settings.seeds
+        self._settings = settings
+        log_event('info', 'reloaded', seeds=','.join(settings.seeds))
+
     async def run(self, stopping: asyncio.Event) -> None:
         """Serves until told to stop, then stops without cutting requests."""
         await self._start()
@@ -168,11 +184,14 @@
         for task in tasks:
             task.cancel()
         self._datagrams.close()
+        for server in self._servers.values():
+            await server.drain(0)
         for pool in self._pools:
             await pool.close()
 
     async def _start(self) -> None:
         settings = self._settings
+        self._metrics.read_gauges = self._read_gauges
         await self._datagrams.start(settings.host)
         ports: tuple[tuple[str, Any, str, int], ...] = (
             ('peers', self._answer_peer, settings.host, settings.peer_port),
@@ -182,6 +201,12 @@
                 settings.ready.host,
                 settings.ready.port,
             ),
+            (
+                'metrics',
+                self._answer_metrics,
+                settings.host,
+                settings.metrics_port,
+            ),
             (
                 'callers',
                 self._flow.serve,
@@ -220,6 +245,27 @@
     async def _answer_ready(self, _: IncomingRequest) -> Response:
         return Response(_OK if self.is_ready else _NOT_READY)
 
+    async def _answer_metrics(self, request: IncomingRequest) -> Response:
+        if request.path != METRICS_PATH:
+            return Response(_NOT_FOUND)
+        return Response.text(_OK, self._metrics.render().decode())
+
+    def _read_gauges(self) -> Gauges:
+        configuration = self._copy.configuration
+        followers = self._leadership.followers
+        state = self._copy.state
+        age = min(state.age(now()), UNKNOWN_AGE_SECONDS)
+        return {
+            'configuration_version': (
+                configuration.version if configuration else 0
+            ),
+            'state_version': state.version,
+            'state_age_seconds': age,
+            'is_leading': int(self._leadership.is_leading),
+            'followers': followers.count,
+            'known_targets': len(self._copy.documents.targets),
+        }
+
     async def _answer_peer(self, request: IncomingRequest) -> Response:
         if request.path != COPY_PATH:
             return Response(_NOT_FOUND)
@@ -254,6 +300,7 @@
         desk.documents,
         lambda: leadership.is_leading,
         desk.adopt,
+        desk.metrics,
     )
     fleet = FleetLink(
         leadership,
--- a/packages/daemon/src/jacinthcroft_daemon/internal/telemetry/counts.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/telemetry/counts.py
@@ -26,6 +26,22 @@
         'Targets that were taken out for their health.',
     )
 
+    SENDS = (
+        'jacinthcroft_sends',
+        'outcome',
+        'Requests sent to targets, by how that ended.',
+    )
+    DECISIONS = (
+        'jacinthcroft_decisions',
+        'decision',
+        'Decisions made for this VM and those that follow it.',
+    )
+    PLATFORM_READS = (
+        'jacinthcroft_platform_reads',
+        'outcome',
+        'Calls to the platform.',
+    )
+
     @property
     def metric_name(self) -> str:
         """The counter's name."""
--- a/packages/daemon/src/jacinthcroft_daemon/internal/telemetry/metrics.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/telemetry/metrics.py
@@ -11,6 +11,7 @@
     Callable,
     Iterable,
     Iterator,
+    Mapping,
     Sequence,
 )
 from dataclasses import replace
@@ -167,17 +168,29 @@
         read_gauges: Callable[[], VmGauges],
     ) -> Self:
         """Makes metrics that keep the latest `metric_teams` teams apart."""
-        latencies = LatencyTable(metric_teams)
+        return cls.from_tables(
+            LatencyTable(metric_teams),
+            CountTable(),
+            lambda meter: _observe_gauges(meter, read_gauges),
+        )
+
+    @classmethod
+    def from_tables(
+        cls,
+        latencies: LatencyTable,
+        counts: CountTable,
+        observe_gauges: Callable[[Meter], None],
+    ) -> Self:
+        """Makes metrics of tables that others keep."""
         registry = CollectorRegistry()
         reader = ScrapeReader(registry)
         provider = MeterProvider(
             metric_readers=[reader],
             shutdown_on_exit=False,
         )
-        counts = CountTable()
         meter = provider.get_meter('jacinthcroft')
         _observe_counts(meter, counts)
-        _observe_gauges(meter, read_gauges)
+        observe_gauges(meter)
         return cls(latencies, counts, registry, reader)
 
     def record_request(
@@ -252,6 +265,27 @@
         )
 
 
+def observe_named_gauges(
+    meter: Meter,
+    prefix: str,
+    read_gauges: Callable[[], Mapping[str, float]],
+) -> None:
+    """Registers a gauge for each name that is read now."""
+    for name in read_gauges():
+        meter.create_observable_gauge(
+            f'{prefix}{name}',
+            callbacks=[partial(_named_observations, read_gauges, name)],
+        )
+
+
+def _named_observations(
+    read_gauges: Callable[[], Mapping[str, float]],
+    name: str,
+    _: CallbackOptions,
+) -> Iterable[Observation]:
+    return (Observation(read_gauges()[name]),)
+
+
 def _gauge_observations(
     read_gauges: Callable[[], VmGauges],
     reader: Callable[[VmGauges], float],
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/decider.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/decider.py
@@ -48,6 +48,8 @@
 # over a window; the rest is room for a second deciding VM.
 BUDGET_BURST: Final = 0.3
 BUDGET_STEADY: Final = 0.5
+# Part that a new deciding VM starts with, for what targets turn down.
+BUDGET_START: Final = 0.15
 # What a VM that lost its report is given before its grant is taken back, in
 # seconds.
 UNLISTED_GRACE_SECONDS: Final = 0.5
@@ -210,6 +212,7 @@
             terms.retry_ratio * (1 - BUDGET_BURST),
             slack * BUDGET_STEADY / terms.retry_window,
             slack * BUDGET_BURST,
+            slack * BUDGET_START,
         )
 
     def _refuse_early(
--- a/packages/decisions/src/jacinthcroft_decisions/internal/traffic/retry_budget.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/traffic/retry_budget.py
@@ -16,12 +16,13 @@
         ratio: float = RETRY_RATIO,
         floor_rate: float = FLOOR_RETRIES_PER_SECOND,
         limit: float = MAX_SAVED_RETRIES,
+        saved: float = 0,
     ) -> None:
-        """Starts empty; the floor rate is in retries per second."""
+        """Starts with what is saved; the floor rate is in retries a second."""
         self._ratio = ratio
         self._floor_rate = floor_rate
         self._limit = limit
-        self._saved: float = 0
+        self._saved = saved
         self._saved_at: float | None = None
 
     def may_retry(self, now: float) -> bool:
--- /dev/null
+++ b/tests/cover/seeded/test_seeded_fleet.py
@@ -0,0 +1,250 @@
+"""The whole path of a seeded fleet, against stand-ins at their protocol."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from tests.cover.seeded.seeded_fleet import (
+    METRICS,
+    READY,
+    SeededFleet,
+    as_json,
+    configuration,
+    entry,
+)
+
+# Between two looks at something that will happen.
+POLL_SECONDS = 0.05
+
+Scene = Callable[[SeededFleet], Awaitable[None]]
+
+
+def _play(scene: Scene, vms: int = 3, targets: int = 2) -> None:
+    async def play() -> None:
+        fleet = SeededFleet(vms)
+        try:
+            await fleet.start(targets)
+            await scene(fleet)
+        finally:
+            await fleet.stop()
+
+    asyncio.run(play())
+
+
+async def _until(condition: Callable[[], Awaitable[bool]]) -> None:
+    async with asyncio.timeout(8):
+        is_met = await condition()
+        while not is_met:
+            await asyncio.sleep(POLL_SECONDS)
+            is_met = await condition()
+
+
+def test_every_vm_serves_a_request_and_passes_on_the_team_only() -> None:
+    async def scene(fleet: SeededFleet) -> None:
+        for number, host in enumerate(fleet.hosts):
+            status, _ = await fleet.call(host, '/safe/x?q=1', f'r{number}')
+            assert status == 200
+            assert fleet.runs(f'r{number}') == 1
+        for target in fleet.targets:
+            for seen in target.seen:
+                assert seen.target == '/safe/x?q=1'
+                assert seen.headers.get('x-tenant') == 'team'
+                assert seen.headers.get('authorization') is None
+
+    _play(scene)
+
+
+def test_unknown_routes_and_keys_are_refused_before_any_target() -> None:
+    async def scene(fleet: SeededFleet) -> None:
+        host = fleet.hosts[0]
+        status, body = await fleet.call(host, '/none/', 'r1')
+        assert (status, as_json(body)['outcome']) == (404, 'not-run')
+        status, _ = await fleet.call(host, '/safe/', 'r2', key='other')
+        assert status == 401
+        status, _ = await fleet.call(
+            host,
+            '/unsafe/',
+            'r3',
+            method='POST',
+            body=bytes(2000),
+        )
+        assert status == 413
+        assert not any(target.seen for target in fleet.targets)
+
+    _play(scene, vms=1)
+
+
+def test_a_withdrawn_key_is_refused_on_every_vm() -> None:
+    async def scene(fleet: SeededFleet) -> None:
+        await fleet.store.put('op/config', configuration(2, ['new']))
+
+        async def is_refused_everywhere() -> bool:
+            statuses = [
+                (await fleet.call(host, '/safe/', 'r', key='key'))[0]
+                for host in fleet.hosts
+            ]
+            return set(statuses) == {401}
+
+        await _until(is_refused_everywhere)
+
+    _play(scene)
+
+
+def test_keyed_work_stops_where_withdrawals_cannot_be_known() -> None:
+    async def scene(fleet: SeededFleet) -> None:
+        fleet.store.is_down = True
+        await asyncio.sleep(2.5)
+        for host in fleet.hosts:
+            status, body = await fleet.call(host, '/safe/', 'r')
+            assert (status, as_json(body)['reason']) == (503, 'not-fresh')
+            assert await fleet.status(host, READY, '/') == 503
+        fleet.store.is_down = False
+        for host in fleet.hosts:
+            await fleet.wait_ready(host)
+
+    _play(scene)
+
+
+def test_a_request_that_a_target_turned_down_runs_on_another_one() -> None:
+    async def scene(fleet: SeededFleet) -> None:
+        fleet.targets[0].behaviour = 'shed'
+        for number in range(4):
+            status, _ = await fleet.call(
+                fleet.hosts[0],
+                '/unsafe/',
+                f'r{number}',
+                method='POST',
+                body=b'x',
+            )
+            assert status == 200
+            assert fleet.runs(f'r{number}') == 1
+
+    _play(scene, vms=1)
+
+
+def test_a_once_only_request_is_never_sent_again_after_it_may_have_run() -> (
+    None
+):
+    async def scene(fleet: SeededFleet) -> None:
+        for behaviour in ('hang', 'cross'):
+            for target in fleet.targets:
+                target.behaviour = behaviour
+            status, body = await fleet.call(
+                fleet.hosts[0],
+                '/unsafe/',
+                behaviour,
+                method='POST',
+            )
+            assert status in {502, 504}
+            assert as_json(body)['outcome'] == 'unknown'
+            assert fleet.runs(behaviour) == 1
+
+    _play(scene, vms=1)
+
+
+def test_a_repeatable_request_gets_another_target_when_one_hangs() -> None:
+    async def scene(fleet: SeededFleet) -> None:
+        fleet.targets[0].behaviour = 'hang'
+        for number in range(4):
+            status, body = await fleet.call(
+                fleet.hosts[0],
+                '/safe/',
+                f'r{number}',
+            )
+            assert (status, body) == (200, b't1')
+
+    _play(scene, vms=1)
+
+
+def test_nothing_goes_to_a_draining_target() -> None:
+    async def scene(fleet: SeededFleet) -> None:
+        leaving = fleet.targets[0]
+        await fleet.store.put(
+            f'servers/{leaving.target_id}',
+            entry(leaving, fleet.ports[0], 'draining'),
+        )
+        await asyncio.sleep(0.5)
+        for number in range(6):
+            await fleet.call(fleet.hosts[0], '/safe/', f'r{number}')
+        assert not leaving.seen
+
+    _play(scene, vms=1)
+
+
+def test_forged_entries_and_configurations_change_nothing() -> None:
+    async def scene(fleet: SeededFleet) -> None:
+        for number, forged in enumerate((b'\xff', b'[]', b'{"Info": 3}')):
+            await fleet.store.put(f'servers/f{number}', forged)
+        await fleet.store.put('op/config', b'{"Version": "00000009"')
+        await asyncio.sleep(0.5)
+        status, _ = await fleet.call(fleet.hosts[0], '/safe/', 'r')
+        assert status == 200
+
+    _play(scene, vms=1)
+
+
+def test_the_fleet_serves_on_when_its_deciding_vm_is_gone() -> None:
+    async def scene(fleet: SeededFleet) -> None:
+        for host in fleet.hosts[:2]:
+            await fleet.kill_vm(host)
+        last = fleet.hosts[2]
+
+        async def is_served() -> bool:
+            status, _ = await fleet.call(last, '/safe/', 'r')
+            return status == 200
+
+        await _until(is_served)
+
+    _play(scene)
+
+
+def test_a_planned_stop_hands_over_and_cuts_nothing() -> None:
+    async def scene(fleet: SeededFleet) -> None:
+        stopping = asyncio.create_task(fleet.stop_vm(fleet.hosts[0]))
+        for number in range(10):
+            status, _ = await fleet.call(
+                fleet.hosts[1],
+                '/safe/',
+                f'r{number}',
+            )
+            assert status == 200
+        await stopping
+
+    _play(scene)
+
+
+def test_the_platform_is_read_by_one_vm_while_it_answers() -> None:
+    async def scene(fleet: SeededFleet) -> None:
+        before = fleet.store.calls
+        await asyncio.sleep(2.4)
+        # A call waits for 0.6 s; some may end and begin at the edges.
+        assert fleet.store.calls - before <= 6
+
+    _play(scene)
+
+
+def test_history_that_is_gone_is_read_again_in_full() -> None:
+    async def scene(fleet: SeededFleet) -> None:
+        fleet.store.oldest = fleet.store.revision + 100
+        fleet.store.revision += 200
+        await fleet.store.put('op/config', configuration(3, ['third']))
+
+        async def is_known() -> bool:
+            status, _ = await fleet.call(
+                fleet.hosts[0],
+                '/safe/',
+                'r',
+                key='third',
+            )
+            return status == 200
+
+        await _until(is_known)
+
+    _play(scene, vms=1)
+
+
+def test_metrics_tell_what_became_of_requests() -> None:
+    async def scene(fleet: SeededFleet) -> None:
+        await fleet.call(fleet.hosts[0], '/safe/', 'r')
+        assert await fleet.status(fleet.hosts[0], METRICS, '/metrics') == 200
+
+    _play(scene, vms=1)
