--- a/packages/daemon/src/jacinthcroft_daemon/internal/telemetry/stdout_lines.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/telemetry/stdout_lines.py
@@ -22,6 +22,9 @@
 LINES_PER_SECOND: Final = 50.0
 LINES_AT_ONCE: Final = 100.0
 FAILURE_FACTOR: Final = 4
+# Kinds that are counted apart; there are a few dozen.
+MAX_KINDS: Final = 128
+OTHER_KIND: Final = 'other'
 # Longest line in bytes: a pipe takes this much at once or nothing.
 MAX_LINE_BYTES: Final = 4096
 # Seconds between lines that tell what was left out.
@@ -71,6 +74,8 @@
         """Writes a record unless its kind has had its lines."""
         at = time.monotonic()
         event = record.msg.name if isinstance(record.msg, Event) else 'log'
+        if event not in self._budgets and len(self._budgets) >= MAX_KINDS:
+            event = OTHER_KIND
         if self._left_out and at > self._reported_at + REPORT_SECONDS:
             self._report(record, at)
         has_room = self._budget(event, record.levelno, at).take(at)
@@ -94,9 +99,9 @@
         told.args = None
         told.levelno = std_logging.WARNING
         told.levelname = 'WARNING'
+        self._reported_at = at
         if self._write(self.format(told)):
             self._left_out.clear()
-            self._reported_at = at
 
     def _write(self, line: str) -> bool:
         encoded = line.encode()[: MAX_LINE_BYTES - 1]
