--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/admission.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/admission.py
@@ -74,6 +74,10 @@
         assert configuration is not None, 'nothing is admitted without one'
         return configuration.limits
 
+    def request_id_of(self, request: IncomingRequest) -> str:
+        """Returns the id that the caller gave a request, or nothing."""
+        return request.headers.get(self._dialect.request_id) or ''
+
     def admit(self, request: IncomingRequest) -> Admitted | Refusal:
         """Returns what a request may do, or why it is refused."""
         configuration = self._copy.configuration
@@ -92,7 +96,7 @@
             team = found
         arrived = request.received_at
         return Admitted(
-            request.headers.get(self._dialect.request_id) or '',
+            self.request_id_of(request),
             route,
             team,
             digest,
--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/request_flow.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/request_flow.py
@@ -100,7 +100,7 @@
         """Returns the caller's answer."""
         admitted = self._admission.admit(request)
         if isinstance(admitted, Refusal):
-            return self._refuse(request, admitted, '')
+            return self._refuse(request, admitted)
         limits = self._admission.limits
         try:
             body = await hold_body(request, limits.body_bytes)
@@ -112,7 +112,7 @@
                 Promise.NOT_RUN,
                 cut.cause.detail,
             )
-            return self._refuse(request, refusal, admitted.request_id)
+            return self._refuse(request, refusal)
         progress = _Progress(
             admitted,
             request,
@@ -279,7 +279,6 @@
         return result.response
 
     def _give_up(self, progress: _Progress) -> Response:
-        request_id = progress.admitted.request_id
         failed = progress.failed
         if failed is not None and failed.response is not None:
             return failed.response
@@ -288,7 +287,7 @@
             if failed.outcome is Outcome.SILENT:
                 reason = Reason.DEADLINE_EXCEEDED
             refusal = Refusal(reason, Promise.UNKNOWN, failed.detail)
-            return self._refuse(progress.request, refusal, request_id)
+            return self._refuse(progress.request, refusal)
         reason = Reason.NO_CAPACITY
         retry_after = RETRY_SECONDS
         detail = 'no target could take it in time'
@@ -297,14 +296,14 @@
             retry_after = progress.refusal.retry_after or 0
             detail = progress.refusal.reason.name.lower()
         refusal = Refusal(reason, Promise.NOT_RUN, detail, retry_after)
-        return self._refuse(progress.request, refusal, request_id)
+        return self._refuse(progress.request, refusal)
 
     def _refuse(
         self,
         request: IncomingRequest,
         refusal: Refusal,
-        request_id: str,
     ) -> Response:
+        request_id = self._admission.request_id_of(request)
         self._metrics.count(Count.REFUSALS, refusal.reason.value)
         log_event(
             'info',
