Fetch a copy again when the connection goes silent

A replay with logs did not break it, so the cause is not shown; a fetch of the copy could hang for 2 s on a kept connection that had gone silent, which gives that very delay. Ruled out by that replay: the watch and the polls. Now a fetch gets 0.35 s, then is tried anew, doubled after each failure. The new test fails with 2 s.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/fleet_link.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/fleet_link.py
@@ -5,6 +5,7 @@
 
 from attrs import define, field
 from jacinthcroft_decisions.membership import (
+    Changes,
     Leadership,
     PollReply,
     Role,
@@ -16,6 +17,7 @@
     Interrupted,
     NothingSent,
     OutgoingRequest,
+    SendOutcome,
     now,
 )
 
@@ -43,9 +45,13 @@
 TICK_SECONDS: Final = 0.06
 # Polls whose reply is still awaited; older ones are lost.
 MAX_POLLS_AWAITED: Final = 64
-# A copy that is fetched from another VM, in bytes and seconds at most.
+# A copy that is fetched from another VM, in bytes at most.
 MAX_COPY_BYTES: Final = 16_000_000
-COPY_SECONDS: Final = 2.0
+# How long a fetch may take, in seconds, before it is tried on another
+# connection: a kept one may have gone silent, and a configuration has to be in
+# force within two seconds. Doubled after each failure, for small links.
+COPY_SECONDS: Final = 0.35
+MAX_COPY_SECONDS: Final = 2.8
 # How old the copy gets before other VMs are asked to read, in seconds: one
 # call that was not answered.
 READERS_WANTED_SECONDS: Final = 1.2
@@ -68,6 +74,7 @@
     reader: PlatformReader
     _polled_at: dict[int, float] = field(factory=dict)
     _nonce: int = 0
+    _copy_seconds: float = COPY_SECONDS
     _fetching: asyncio.Task[None] | None = None
     _logged_role: tuple[Role, str | None] = (Role.SEEKING, None)
     _introduced_to: str | None = None
@@ -261,19 +268,16 @@
                 'GET',
                 f'{COPY_PATH}?after={version}',
             ),
-            COPY_SECONDS,
+            self._copy_seconds,
         )
-        if isinstance(outcome, (NothingSent, Interrupted)):
-            log_event('info', 'copy-failed', of=host, detail=outcome.detail)
-            return
-        try:
-            exported = await outcome.read(MAX_COPY_BYTES)
-            if not isinstance(exported, bytes):
-                raise ValueError(f'not whole: {exported}')
-            changes = import_changes(exported)
-        except (ValueError, BodyCut) as error:
-            log_event('warning', 'copy-failed', of=host, detail=str(error))
+        changes = await _read_changes(outcome)
+        if isinstance(changes, str):
+            longer = self._copy_seconds * 2
+            self._copy_seconds = min(MAX_COPY_SECONDS, longer)
+            log_event('info', 'copy-failed', of=host, detail=changes)
+            self._poll(host, wants_reader=False)
             return
+        self._copy_seconds = COPY_SECONDS
         if self._copy.absorb(changes):
             self.desk.adopt()
         # The next reply confirms it; until then the age is unchanged.
@@ -289,3 +293,16 @@
         log_event('info', 'leadership-taken-over', of=host)
         self._leadership.take_over(now())
         self._note_role()
+
+
+async def _read_changes(outcome: SendOutcome) -> Changes | str:
+    """Returns the changes in an answer, or why there are none."""
+    if isinstance(outcome, (NothingSent, Interrupted)):
+        return f'{outcome.reason}: {outcome.detail}'
+    try:
+        exported = await outcome.read(MAX_COPY_BYTES)
+        if isinstance(exported, bytes):
+            return import_changes(exported)
+    except (ValueError, BodyCut) as error:
+        return str(error)
+    return f'not whole: {exported}'
--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/vm.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/vm.py
@@ -180,6 +180,15 @@
         finally:
             await self._close((stop, *loops))
 
+    async def answer_peer(self, request: IncomingRequest) -> Response:
+        """Answers another VM that fetches this VM's copy."""
+        if request.path != COPY_PATH:
+            return Response(_NOT_FOUND)
+        _, _, after = request.query.partition('=')
+        if not after.isdigit():
+            return Response.text(_BAD_REQUEST, f'after={after!r}: a number\n')
+        return Response(_OK, body=self._copy.export(int(after)))
+
     async def _close(self, tasks: Iterable[asyncio.Task[Any]]) -> None:
         for task in tasks:
             task.cancel()
@@ -194,7 +203,12 @@
         self._metrics.read_gauges = self._read_gauges
         await self._datagrams.start(settings.host)
         ports: tuple[tuple[str, Any, str, int], ...] = (
-            ('peers', self._answer_peer, settings.host, settings.peer_port),
+            (
+                'peers',
+                self.answer_peer,
+                settings.host,
+                settings.peer_port,
+            ),
             (
                 'ready',
                 self._answer_ready,
@@ -266,14 +280,6 @@
             'known_targets': len(self._copy.documents.targets),
         }
 
-    async def _answer_peer(self, request: IncomingRequest) -> Response:
-        if request.path != COPY_PATH:
-            return Response(_NOT_FOUND)
-        _, _, after = request.query.partition('=')
-        if not after.isdigit():
-            return Response.text(_BAD_REQUEST, f'after={after!r}: a number\n')
-        return Response(_OK, body=self._copy.export(int(after)))
-
 
 def _make_pools() -> tuple[ConnectionPool, ConnectionPool]:
     """Returns the pools for other VMs and for targets."""
--- a/tests/cover/dispatch/test_two_deciders.py
+++ b/tests/cover/dispatch/test_two_deciders.py
@@ -1,7 +1,7 @@
 """Shared limits while two VMs decide at once, change, restart and lose word."""
 
 from collections import Counter
-from typing import Final
+from typing import Any, Final
 
 from attrs import define, field
 from hypothesis import given, settings
@@ -59,7 +59,9 @@
             make_target(number, slots=50, cold_left=cold_left)
             for number in range(count)
         ]
-        rates = {} if self.is_cold else {'rate': RATE, 'burst': BURST}
+        rates: dict[str, Any] = (
+            {} if self.is_cold else {'rate': RATE, 'burst': BURST}
+        )
         decider = make_decider(targets, **rates)
         # After its start a VM takes the fleet for larger than it sees.
         decider.share = self.shares[which]
--- a/tests/cover/seeded/test_seeded_fleet.py
+++ b/tests/cover/seeded/test_seeded_fleet.py
@@ -2,6 +2,10 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from unittest import mock
+
+from jacinthcroft_daemon.internal.seeded.vm import SeededVm
+from jacinthcroft_http import IncomingRequest, Response
 
 from tests.cover.seeded.seeded_fleet import (
     METRICS,
@@ -248,3 +252,36 @@
         assert await fleet.status(fleet.hosts[0], METRICS, '/metrics') == 200
 
     _play(scene, vms=1)
+
+
+def test_a_fetch_that_goes_silent_does_not_keep_a_configuration_back() -> None:
+    answer_copies = SeededVm.answer_peer
+    fetches: list[str] = []
+    has_started = asyncio.Event()
+
+    async def go_silent_once(
+        vm: SeededVm,
+        request: IncomingRequest,
+    ) -> Response:
+        if has_started.is_set():
+            fetches.append(request.target)
+            if len(fetches) == 1:
+                await asyncio.sleep(30)
+        return await answer_copies(vm, request)
+
+    async def scene(fleet: SeededFleet) -> None:
+        has_started.set()
+        await fleet.store.put('op/config', configuration(2, ['new']))
+        # The configuration has to be in force within two seconds.
+        async with asyncio.timeout(2):
+            statuses: set[int] = set()
+            while statuses != {200}:
+                await asyncio.sleep(POLL_SECONDS)
+                statuses = {
+                    (await fleet.call(host, '/safe/', 'r', key='new'))[0]
+                    for host in fleet.hosts
+                }
+        assert len(fetches) > 1
+
+    with mock.patch.object(SeededVm, 'answer_peer', go_silent_once):
+        _play(scene, vms=2)
