Never call a repeatable request not-run after a send that may have run

Found by reading the change: a second send that was turned down replaced the first one's result, so that the refusal could say not-run falsely.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/request_flow.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/request_flow.py
@@ -75,6 +75,11 @@
         """Whether it may run a second time."""
         return self.admitted.route.is_repeatable and self.body.is_repeatable
 
+    def note_failed(self, result: SendResult) -> None:
+        """Keeps the result that says most of whether the request ran."""
+        if result.may_have_run or self.failed is None:
+            self.failed = result
+
     @property
     def may_send_more(self) -> bool:
         """Whether its route allows another target."""
@@ -162,7 +167,7 @@
                 if best is not None and best.outcome is Outcome.SERVED:
                     return self._answer(progress, best)
                 if best is not None:
-                    progress.failed = best
+                    progress.note_failed(best)
                     patience = 0
         finally:
             for task in running:
