Wait at a start only for seeds that rank better, not for any VM

Ruled out: stale seeds, a silent platform. Change: in the first search only a seed that ranks better is waited for. Test fails before: nobody leads 1.3 s after the start of 12 VMs whose seeds rank last; passes after.

--- a/packages/decisions/src/jacinthcroft_decisions/internal/membership/leadership.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/membership/leadership.py
@@ -199,8 +199,7 @@
             self._follow(reply.sender.host, now)
             return
         if reply.leader in {None, self.me.host}:
-            is_better = reply.sender.rank < self.me.rank
-            if is_better and not reply.is_leaving:
+            if self._may_claim_first(reply):
                 self._better_at = now
             return
         self._hosts.note(str(reply.leader))
@@ -214,6 +213,12 @@
         elif not is_suspect:
             self._successors = (str(reply.leader), *self._successors)
 
+    def _may_claim_first(self, reply: PollReply) -> bool:
+        if reply.is_leaving or reply.sender.rank >= self.me.rank:
+            return False
+        # Whoever has just started and is no seed waits for the seeds.
+        return not self._is_first_search or reply.sender.host in self.seeds
+
     def _doubt(self, now: float) -> None:
         """Asks the leader at once, since another VM has lost it."""
         if self.role is Role.FOLLOWING and self._doubted_at is None:
--- a/tests/cover/membership/test_leadership.py
+++ b/tests/cover/membership/test_leadership.py
@@ -193,6 +193,20 @@
     assert len(fleet.leaders()) == 1
 
 
+def test_seeds_that_start_wait_for_no_better_ranked_vm_that_is_no_seed() -> (
+    None
+):
+    # Found by inc-4e97: two seconds without decisions instead of one.
+    fleet = Fleet(0)
+    for rank, number in enumerate(reversed(range(12))):
+        fleet.start(f'h{number}', rank)
+    fleet.run(1.3)
+    assert fleet.leaders()
+    assert fleet.leaders() <= set(fleet.seeds)
+    fleet.run(2)
+    assert len(fleet.leaders()) == 1
+
+
 def test_a_vm_that_started_into_the_unknown_takes_a_small_share() -> None:
     vm = Fleet(1, seeds=1).vms['h0']
     at_start = vm.followers.share(0, is_leading=True)
