Judge hangs, starts and slowness by what is usual on the request's route

Cause: about half of the requests that VMs send on the users' platform test the configuration and take milliseconds. They pulled the service's mean down, so that ordinary longer requests were taken to hang, and queued ones were started that could not end in time. Change: a mean for each route; asks name their route; a target's slowness is measured against the route's mean.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/request_flow.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/request_flow.py
@@ -214,6 +214,7 @@
             progress.fingerprint,
             len(progress.body.held),
             tuple(progress.tried),
+            admitted.route.name,
         )
         decision = await self._link.ask(ask)
         if isinstance(decision, Grant):
--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/wire.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/wire.py
@@ -71,12 +71,14 @@
         ask.fingerprint,
         ask.body_bytes,
         list(ask.excluded),
+        ask.route,
     )
 
 
 def unpack_ask(host: str, fields: list[Any]) -> Ask:
     """Returns the ask that a VM sent."""
     time_left, objective_left = fields[6:8]
+    excluded, route = fields[10:]
     return Ask(
         host,
         int(fields[0]),
@@ -89,7 +91,8 @@
         objective_left=objective_left / _MILLIS,
         fingerprint=str(fields[8]),
         body_bytes=int(fields[9]),
-        excluded=tuple(str(target) for target in fields[10]),
+        excluded=tuple(str(target) for target in excluded),
+        route=str(route),
     )
 
 
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/decider.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/decider.py
@@ -28,6 +28,7 @@
     ServiceBoard,
 )
 from jacinthcroft_decisions.internal.dispatch.target_record import (
+    Run,
     TargetRecord,
 )
 from jacinthcroft_decisions.internal.dispatch.team_quota import TeamQuota
@@ -133,7 +134,7 @@
         refusal = self._refuse_early(ask, board, now)
         if refusal is not None:
             return self._remember(refusal)
-        waiting = Waiting(ask, zone, now)
+        waiting = Waiting(ask, zone, now, board.norms.of(ask.route))
         if not len(board.queue):
             grant = self._place(board, waiting, now)
             if grant is not None:
@@ -185,7 +186,7 @@
         if record is None:
             return
         started = now - seconds
-        record.running[ask.key] = started
+        record.running[ask.key] = Run(started, board.norms.of(ask.route))
         self._running[ask.key] = _Running(
             ask,
             ask.service,
@@ -242,7 +243,11 @@
         now: float,
     ) -> Decision | None:
         ask = waiting.ask
-        retry_after = board.queue.refuse_after(ask, board.room(now), now)
+        retry_after = board.queue.refuse_after(
+            waiting,
+            board.room(now),
+            now,
+        )
         if retry_after is not None:
             return self._refuse(ask, RefusalReason.FULL, retry_after)
         board.queue.add(waiting)
@@ -258,8 +263,7 @@
             decisions.append(
                 self._refuse(hopeless.ask, RefusalReason.FULL, None),
             )
-        mean = board.norm.mean_seconds
-        for waiting in board.queue.in_order(now, mean):
+        for waiting in board.queue.in_order(now):
             grant = self._place(board, waiting, now)
             if grant is not None:
                 self._forget_waiting(waiting.ask.key)
@@ -277,7 +281,7 @@
         record = board.choose(requester, self.share, now)
         if record is None:
             return None
-        board.start(record, ask.key, now)
+        board.start(record, ask, now)
         if ask.attempt > 1:
             board.budget.note_retry(now)
         else:
@@ -295,7 +299,7 @@
             entry.target_id,
             entry.host,
             entry.port,
-            patience_of(ask, board.norm),
+            patience_of(ask, waiting.norm),
         )
         self._remember(grant)
         return grant
@@ -311,7 +315,7 @@
         record.finish(report.key, report.outcome, report.seconds, now)
         fingerprint = running.ask.fingerprint
         if report.outcome is Outcome.SERVED:
-            board.take_latency(report.seconds)
+            board.norms.take(running.ask.route, report.seconds)
             self._quarantine.absolve(fingerprint)
         elif report.outcome is Outcome.BROKEN and fingerprint:
             strike = Strike(fingerprint, record.entry.target_id)
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/messages.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/messages.py
@@ -44,7 +44,8 @@
     """A request that wants a target; times in seconds from now.
 
     `attempt` counts this request's sends from 1. `excluded` are targets that
-    have had it. `objective_left` may be negative.
+    have had it. `objective_left` may be negative. `route` tells requests of
+    different length apart.
     """
 
     vm: str
@@ -59,6 +60,7 @@
     fingerprint: str = ''
     body_bytes: int = 0
     excluded: tuple[str, ...] = ()
+    route: str = ''
 
     @property
     def key(self) -> AskKey:
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/placement.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/placement.py
@@ -11,6 +11,7 @@
 
 from attrs import frozen
 
+from jacinthcroft_decisions.internal.dispatch.latency_norms import Norm
 from jacinthcroft_decisions.internal.dispatch.messages import Ask
 from jacinthcroft_decisions.internal.dispatch.target_record import (
     Standing,
@@ -52,18 +53,9 @@
     waited: float
 
 
-@frozen
-class ServiceNorm:
-    """What is usual for a service: mean latency and when it is a hang."""
-
-    mean_seconds: float
-    hang_seconds: float
-
-
 def choose_target(
     requester: Requester,
     candidates: Iterable[TargetRecord],
-    norm: ServiceNorm,
     now: float,
 ) -> TargetRecord | None:
     """Returns the target to send to, or None to wait.
@@ -74,12 +66,12 @@
     best_cost: tuple[int, float, float] | None = None
     worst = worst_standing(requester)
     for record in candidates:
-        standing = record.standing(now, norm.hang_seconds, norm.mean_seconds)
+        standing = record.standing(now)
         if standing > worst:
             continue
         cost = (
             _preference(requester.ask, standing, record),
-            _cost(requester, record, norm, now),
+            _cost(requester, record, now),
             record.last_used,
         )
         if best_cost is None or cost < best_cost:
@@ -88,7 +80,7 @@
     return best
 
 
-def patience_of(ask: Ask, norm: ServiceNorm) -> float:
+def patience_of(ask: Ask, norm: Norm) -> float:
     """Returns how long to wait for an answer before a second target, seconds.
 
     A second send that is to meet the objective has to start early enough,
@@ -126,7 +118,6 @@
 def _cost(
     requester: Requester,
     record: TargetRecord,
-    norm: ServiceNorm,
     now: float,
 ) -> float:
     ask = requester.ask
@@ -138,8 +129,8 @@
         cost += ask.body_bytes / _MIB * ZONE_BODY_COST_PER_MIB
     if record.is_cold(now):
         cost += COLD_COST
-    if record.mean_latency is not None:
-        cost += record.mean_latency / norm.mean_seconds
+    if record.slowness is not None:
+        cost += record.slowness
     stale = min(MAX_STALE_SECONDS, now - record.proven_at)
     if ask.is_repeatable and ask.attempt == 1:
         return cost - stale * PROBE_GAIN
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/service_board.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/service_board.py
@@ -15,10 +15,12 @@
     ServiceTerms,
     TargetEntry,
 )
-from jacinthcroft_decisions.internal.dispatch.messages import Ask, AskKey
+from jacinthcroft_decisions.internal.dispatch.latency_norms import (
+    LatencyNorms,
+)
+from jacinthcroft_decisions.internal.dispatch.messages import Ask
 from jacinthcroft_decisions.internal.dispatch.placement import (
     Requester,
-    ServiceNorm,
     choose_target,
 )
 from jacinthcroft_decisions.internal.dispatch.target_record import (
@@ -31,15 +33,6 @@
 )
 from jacinthcroft_decisions.internal.traffic.retry_budget import RetryBudget
 
-# Mean latency that a service starts with, in seconds.
-STARTING_MEAN_SECONDS: Final = 0.2
-# Weight of the newest latency in the mean.
-MEAN_WEIGHT: Final = 0.02
-# A request that runs this many times the mean is taken to hang; within the
-# bounds below, in seconds.
-HANG_FACTOR: Final = 2.2
-MIN_HANG_SECONDS: Final = 0.2
-MAX_HANG_SECONDS: Final = 1.0
 # Part of its free slots that a doubtful target is counted with.
 DOUBTFUL_SHARE: Final = 0.5
 # Targets that are missing from the list keep their record for so long, in
@@ -56,15 +49,9 @@
     queue: WaitQueue = field(factory=WaitQueue)
     records: dict[str, TargetRecord] = field(factory=dict)
     rates: ArrivalRates = field(factory=ArrivalRates)
+    norms: LatencyNorms = field(factory=LatencyNorms)
     _usable: set[str] = field(factory=set)
     _cold: dict[str, ColdAllowance] = field(factory=dict)
-    _mean: float = STARTING_MEAN_SECONDS
-
-    @property
-    def norm(self) -> ServiceNorm:
-        """What is usual for the service's requests."""
-        hang = min(MAX_HANG_SECONDS, HANG_FACTOR * self._mean)
-        return ServiceNorm(self._mean, max(MIN_HANG_SECONDS, hang))
 
     @property
     def usable(self) -> Iterable[TargetRecord]:
@@ -90,7 +77,7 @@
     def room(self, now: float) -> Room:
         """Returns what the targets serve, doubtful ones in part."""
         slots = sum(self._slots_of(record, now) for record in self.usable)
-        return Room(slots / self._mean, self._mean, self.rates)
+        return Room(slots / self.norms.mean_seconds, self.rates)
 
     def choose(
         self,
@@ -105,22 +92,16 @@
             for record in self.usable
             if self._may_get(record, ask, share, now)
         ]
-        return choose_target(requester, candidates, self.norm, now)
+        return choose_target(requester, candidates, now)
 
-    def start(self, record: TargetRecord, key: AskKey, now: float) -> None:
+    def start(self, record: TargetRecord, ask: Ask, now: float) -> None:
         """Counts a request that is sent to a target."""
-        record.start(key, now)
+        record.start(ask.key, self.norms.of(ask.route), now)
         if record.is_cold(now):
             self._allowance(record).note_sent()
 
-    def take_latency(self, seconds: float) -> None:
-        """Takes an answer's latency into the mean."""
-        self._mean += (seconds - self._mean) * MEAN_WEIGHT
-
     def _slots_of(self, record: TargetRecord, now: float) -> float:
-        norm = self.norm
-        standing = record.standing(now, norm.hang_seconds, norm.mean_seconds)
-        if standing <= Standing.UNKNOWN:
+        if record.standing(now) <= Standing.UNKNOWN:
             return record.entry.slots
         free = record.entry.slots - len(record.running)
         return max(0, free) * DOUBTFUL_SHARE
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/target_record.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/target_record.py
@@ -4,9 +4,10 @@
 import math
 from typing import Final
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from jacinthcroft_decisions.internal.dispatch.documents import TargetEntry
+from jacinthcroft_decisions.internal.dispatch.latency_norms import Norm
 from jacinthcroft_decisions.internal.dispatch.messages import (
     AskKey,
     Outcome,
@@ -20,10 +21,13 @@
 MAX_AVOID_SECONDS: Final = 3.0
 # One error status is an ordinary answer; this many in a row are a sign.
 ERRORS_IN_A_ROW: Final = 2
-# Weight of the newest latency in a target's mean.
+# Weight of the newest latency in a target's slowness.
 LATENCY_WEIGHT: Final = 0.2
-# A target this many times slower than its service's mean is doubtful.
+# A target this many times slower than usual is doubtful.
 SLOW_FACTOR: Final = 2.5
+# Added to latencies before they are compared, in seconds: that of a request of
+# a few milliseconds says more of the way than of the target.
+OVERHEAD_SECONDS: Final = 0.05
 # A path that failed is left alone for so long, in seconds, per VM.
 PATH_AVOID_SECONDS: Final = 4.0
 # Connections are taken to be open for so long after their last use, in
@@ -48,16 +52,25 @@
     AVOIDED = 3
 
 
+@frozen
+class Run:
+    """A request that a target has, since when, and what is usual for it."""
+
+    started: float
+    norm: Norm
+
+
 @define
 class TargetRecord:
     """A target's load and evidence; times on the deciding VM's clock."""
 
     entry: TargetEntry
     cold_until: float
-    running: dict[AskKey, float] = field(factory=dict)
+    running: dict[AskKey, Run] = field(factory=dict)
     paths: dict[str, float] = field(factory=dict)
     blocked_paths: dict[str, float] = field(factory=dict)
-    mean_latency: float | None = None
+    # Mean of its latencies over what is usual on their routes.
+    slowness: float | None = None
     last_used: float = -math.inf
     served_at: float = -math.inf
     # When the latest request was sent that was served: until then the target
@@ -76,28 +89,24 @@
         """Whether the target still warms up."""
         return now < self.cold_until
 
-    def oldest_running(self, now: float) -> float:
-        """Returns the age of its oldest running request, in seconds."""
-        if not self.running:
-            return 0
-        return now - min(self.running.values())
+    def is_hanging(self, now: float) -> bool:
+        """Whether a request runs for longer than such requests do."""
+        return any(
+            now > run.started + run.norm.hang_seconds
+            for run in self.running.values()
+        )
 
-    def standing(
-        self,
-        now: float,
-        hang_seconds: float,
-        service_mean: float,
-    ) -> Standing:
+    def standing(self, now: float) -> Standing:
         """Judges the target by its last answers and what is under way."""
         if now < self._trouble_at + self._avoid_seconds:
             return Standing.AVOIDED
-        if self.oldest_running(now) > hang_seconds:
+        if self.is_hanging(now):
             return Standing.DOUBTFUL
         if self._trouble_at > self.served_at:
             return Standing.DOUBTFUL
-        if self.mean_latency is None:
+        if self.slowness is None:
             return Standing.UNKNOWN
-        if self.mean_latency > SLOW_FACTOR * service_mean:
+        if self.slowness > SLOW_FACTOR:
             return Standing.DOUBTFUL
         return Standing.PROVEN
 
@@ -109,9 +118,9 @@
         """Whether the VM probably holds an idle connection to it."""
         return now < self.paths.get(vm, -math.inf) + CONNECTED_SECONDS
 
-    def start(self, key: AskKey, now: float) -> None:
+    def start(self, key: AskKey, norm: Norm, now: float) -> None:
         """Counts a request that is sent."""
-        self.running[key] = now
+        self.running[key] = Run(now, norm)
         self.last_used = now
 
     def finish(
@@ -122,7 +131,7 @@
         now: float,
     ) -> None:
         """Takes in how a send ended."""
-        started = self.running.pop(key, now)
+        run = self.running.pop(key, Run(now, Norm(seconds)))
         vm = key[0]
         if outcome in _ANSWERED:
             # The connection is good, whatever came over it.
@@ -130,13 +139,13 @@
         elif outcome in _TROUBLES:
             self.paths.pop(vm, None)
         if outcome is Outcome.SERVED:
-            self._take_success(seconds, now)
-            self.proven_at = max(self.proven_at, started)
+            self._take_success(seconds, run.norm, now)
+            self.proven_at = max(self.proven_at, run.started)
         elif outcome is Outcome.ERROR:
             self._take_error(now)
         elif outcome is Outcome.UNREACHABLE:
             self._block_path(vm, now)
-        elif self._is_against(outcome, started):
+        elif self._is_against(outcome, run.started):
             self._take_trouble(now)
 
     def _is_against(self, outcome: Outcome, started: float) -> bool:
@@ -150,15 +159,16 @@
         if self._errors >= ERRORS_IN_A_ROW:
             self._take_trouble(now)
 
-    def _take_success(self, seconds: float, now: float) -> None:
+    def _take_success(self, seconds: float, norm: Norm, now: float) -> None:
         self._errors = 0
         self.served_at = now
         self._avoid_seconds = AVOID_SECONDS
-        if self.mean_latency is None:
-            self.mean_latency = seconds
+        usual = norm.mean_seconds + OVERHEAD_SECONDS
+        slowness = (seconds + OVERHEAD_SECONDS) / usual
+        if self.slowness is None:
+            self.slowness = slowness
         else:
-            step = (seconds - self.mean_latency) * LATENCY_WEIGHT
-            self.mean_latency += step
+            self.slowness += (slowness - self.slowness) * LATENCY_WEIGHT
 
     def _take_trouble(self, now: float) -> None:
         if self._trouble_at > self.served_at:
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/wait_queue.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/wait_queue.py
@@ -12,6 +12,7 @@
 from jacinthcroft_decisions.internal.dispatch.arrival_rates import (
     ArrivalRates,
 )
+from jacinthcroft_decisions.internal.dispatch.latency_norms import Norm
 from jacinthcroft_decisions.internal.dispatch.messages import Ask, AskKey
 
 # Part of the room that is left to the least urgent, and the least requests a
@@ -34,6 +35,7 @@
     ask: Ask
     zone: str
     since: float
+    norm: Norm
 
     @property
     def deadline(self) -> float:
@@ -46,20 +48,17 @@
         return self.since + self.ask.objective_left
 
 
-def order_of(
-    waiting: Waiting, now: float, mean: float
-) -> tuple[int, int, float]:
+def order_of(waiting: Waiting, now: float) -> tuple[int, int, float]:
     """Returns the sort key of a waiting ask: the smallest goes first."""
-    is_late = now + mean > waiting.objective
+    is_late = now + waiting.norm.mean_seconds > waiting.objective
     return (waiting.ask.rank, int(is_late), waiting.since)
 
 
 @frozen
 class Room:
-    """What a service serves: `per_second` requests of `mean` seconds."""
+    """What a service serves: `per_second` requests."""
 
     per_second: float
-    mean: float
     rates: ArrivalRates
 
     def wait(self, ahead: int, rank: int, now: float) -> float:
@@ -96,31 +95,37 @@
             if key[0] == vm:
                 self._waiting.pop(key)
 
-    def in_order(self, now: float, mean: float) -> list[Waiting]:
+    def in_order(self, now: float) -> list[Waiting]:
         """Returns all that wait, the first to be served first."""
         return sorted(
             self._waiting.values(),
-            key=lambda waiting: order_of(waiting, now, mean),
+            key=lambda waiting: order_of(waiting, now),
         )
 
     def hopeless(self, room: Room, now: float) -> list[Waiting]:
         """Returns those that will not be served in time as things stand."""
-        needed = room.mean * LAST_START_SHARE
         return [
             waiting
-            for ahead, waiting in enumerate(self.in_order(now, room.mean))
+            for ahead, waiting in enumerate(self.in_order(now))
             if now
             + room.wait(ahead, waiting.ask.rank, now) * SURE_SHARE
-            + needed
+            + waiting.norm.mean_seconds * LAST_START_SHARE
             > waiting.deadline
         ]
 
-    def refuse_after(self, ask: Ask, room: Room, now: float) -> float | None:
+    def refuse_after(
+        self,
+        waiting: Waiting,
+        room: Room,
+        now: float,
+    ) -> float | None:
         """Returns the `Retry-After` of an ask that must not wait, or None."""
+        ask = waiting.ask
         ahead = sum(
             other.ask.rank <= ask.rank for other in self._waiting.values()
         )
         wait = room.wait(ahead, ask.rank, now)
-        if wait + room.mean * LAST_START_SHARE > ask.time_left:
+        needed = waiting.norm.mean_seconds * LAST_START_SHARE
+        if wait + needed > ask.time_left:
             return max(MIN_RETRY_SECONDS, wait)
         return None
--- a/packages/testkit/src/jacinthcroft_testkit/internal/dispatch_play.py
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/dispatch_play.py
@@ -38,7 +38,8 @@
     """What callers send and how targets fail; times in seconds.
 
     `sick_share` is the part of the time that a target is in an episode, in
-    which it hangs in `hang_share` of its requests.
+    which it hangs in `hang_share` of its requests. `short_share` of the
+    requests go to another route, and take `short_work`.
     """
 
     targets: tuple[TargetEntry, ...]
@@ -53,6 +54,8 @@
     hang_share: float = 0.75
     urgent_share: float = 0.5
     vms: int = 24
+    short_share: float = 0.0
+    short_work: float = 0.005
 
 
 @frozen
@@ -129,6 +132,7 @@
     is_repeatable: bool
     rank: int
     vm: str
+    is_short: bool
     is_over: bool = False
     sends: int = 0
     tried: tuple[str, ...] = ()
@@ -223,6 +227,7 @@
             self.source.random() < load.repeatable_share,
             int(self.source.random() >= load.urgent_share),
             f'vm{self.source.randrange(load.vms)}',
+            load.short_share > 0 and self.source.random() < load.short_share,
         )
         self._tally['sent'] += 1
         self._ranks[(request.rank, 'sent')] += 1
@@ -243,6 +248,7 @@
             load.deadline - waited,
             load.objective - waited,
             excluded=request.tried,
+            route='short' if request.is_short else 'long',
         )
         self._asked[ask.key] = request
         decision = self.policy.decide(ask, 'a', self._now)
@@ -294,7 +300,8 @@
         begun = self._now
         deadline = request.sent_at + self.load.deadline
         queued = max(0, target.running - target.entry.slots)
-        work = self.load.work * self.source.lognormvariate(-0.11, 0.47)
+        usual = self.load.short_work if request.is_short else self.load.work
+        work = usual * self.source.lognormvariate(-0.11, 0.47)
         ends = begun + work + queued * self.load.work / target.entry.slots
         if self._is_sick(target) or ends > deadline:
             self._at(deadline, lambda: self._end(target))
--- a/tests/cover/dispatch/test_heavy_loads.py
+++ b/tests/cover/dispatch/test_heavy_loads.py
@@ -71,3 +71,13 @@
 
 def test_most_targets_stay_in_use_under_gray_failures() -> None:
     assert _play(GRAY, 1).least_used_share > USED_SHARE
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_short_requests_of_one_route_do_not_make_hangs_of_longer_ones(
+    seed: int,
+) -> None:
+    load = Load(TARGETS, 300, SECONDS, short_share=0.4)
+    played = _play(load, seed)
+    assert played.served_share > URGENT_SHARE
+    assert 20 * played.refused_late < played.sent
