Leave rested connections of a service while its targets forget them

Cause: targets may drop idle connections after a fraction of a second and reset what comes next; VMs kept connections for 7.5 s whatever happened, so that requests which may run only once were lost. A reset on a rested connection makes a target doubtful, but it is not left alone.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/decision_link.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/decision_link.py
@@ -103,12 +103,18 @@
             )
         return decision
 
-    def report(self, number: int, outcome: Outcome, seconds: float) -> None:
+    def report(
+        self,
+        number: int,
+        outcome: Outcome,
+        seconds: float,
+        *,
+        was_rested: bool = False,
+    ) -> None:
         """Tells the deciding VM how a send ended."""
         self.sendings.pop(number, None)
-        self._tell(
-            Report((self._leadership.me.host, number), outcome, seconds),
-        )
+        key = (self._leadership.me.host, number)
+        self._tell(Report(key, outcome, seconds, was_rested))
 
     def take(self, decision: Decision) -> None:
         """Takes in a decision for this VM."""
--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/request_flow.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/request_flow.py
@@ -250,7 +250,12 @@
             outcome = Outcome.SILENT if is_silent else Outcome.ABANDONED
             self._link.report(grant.key[1], outcome, took)
             raise
-        self._link.report(grant.key[1], result.outcome, result.seconds)
+        self._link.report(
+            grant.key[1],
+            result.outcome,
+            result.seconds,
+            was_rested=result.was_rested,
+        )
         self._metrics.count(Count.SENDS, result.outcome.name.lower())
         if result.outcome in {Outcome.SHED, Outcome.MISPLACED}:
             progress.runs -= 1
--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/sender.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/sender.py
@@ -3,8 +3,8 @@
 from collections.abc import AsyncIterator
 from typing import Final
 
-from attrs import define, frozen
-from jacinthcroft_decisions.dispatch import Grant, Outcome
+from attrs import define, evolve, frozen
+from jacinthcroft_decisions.dispatch import RESTED_SECONDS, Grant, Outcome
 from jacinthcroft_http import (
     Answer,
     BodyCut,
@@ -25,6 +25,9 @@
 # Answers up to this size are read whole before the caller gets any of it, so
 # that one that breaks off can be had from another target.
 HELD_ANSWER_BYTES: Final = 4 * 1024 * 1024
+# A target that has forgotten a connection resets it at once, in seconds: some
+# trips between zones on a busy VM.
+STALE_SECONDS: Final = 0.06
 _MISDIRECTED: Final = 421
 _FIRST_FAILURE: Final = 500
 
@@ -42,7 +45,7 @@
     may_have_run: bool
     detail: str
     response: Response | None = None
-    target: str = ''
+    was_rested: bool = False
 
 
 @define(eq=False)
@@ -70,6 +73,7 @@
             self._headers(admitted, request, grant),
             body,
             self._dialect.time_left,
+            grant.max_rest,
         )
         outcome = await self._pool.send(
             outgoing,
@@ -80,7 +84,8 @@
             return self._judge_unsent(outcome, now() - begun)
         if isinstance(outcome, Interrupted):
             return _interrupted(outcome, now() - begun)
-        return await self._read(admitted, outcome, begun)
+        result = await self._read(admitted, outcome, begun)
+        return evolve(result, was_rested=_has_rested(outcome.rested))
 
     def _headers(
         self,
@@ -185,10 +190,20 @@
 
 
 def _interrupted(outcome: Interrupted, took: float) -> SendResult:
-    is_silent = outcome.reason == 'timeout'
+    was_rested = _has_rested(outcome.rested)
+    reported = Outcome.BROKEN
+    if outcome.reason == 'timeout':
+        reported = Outcome.SILENT
+    elif outcome.reason == 'reset' and was_rested and took < STALE_SECONDS:
+        reported = Outcome.STALE
     return SendResult(
-        Outcome.SILENT if is_silent else Outcome.BROKEN,
+        reported,
         took,
         may_have_run=True,
         detail=f'{outcome.reason}: {outcome.detail}',
+        was_rested=was_rested,
     )
+
+
+def _has_rested(seconds: float | None) -> bool:
+    return seconds is not None and seconds >= RESTED_SECONDS
--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/wire.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/wire.py
@@ -107,25 +107,27 @@
             decision.host,
             decision.port,
             _to_millis(decision.patience),
+            _to_optional_millis(decision.max_rest),
         )
-    retry_after = decision.retry_after
     return pack(
         Kind.REFUSAL,
         number,
         int(decision.reason),
-        None if retry_after is None else _to_millis(retry_after),
+        _to_optional_millis(decision.retry_after),
     )
 
 
 def unpack_grant(host: str, fields: list[Any]) -> Grant:
     """Returns a grant to the VM with this host."""
-    number, target_id, target_host, port, patience = fields
+    number, target_id, target_host, port = fields[:4]
+    patience, max_rest = fields[4:]
     return Grant(
         (host, int(number)),
         str(target_id),
         str(target_host),
         int(port),
         patience / _MILLIS,
+        _to_optional_seconds(max_rest),
     )
 
 
@@ -135,7 +137,7 @@
     return Refusal(
         (host, int(number)),
         RefusalReason(reason),
-        None if retry_after is None else retry_after / _MILLIS,
+        _to_optional_seconds(retry_after),
     )
 
 
@@ -146,14 +148,28 @@
         report.key[1],
         int(report.outcome),
         _to_millis(report.seconds),
+        report.was_rested,
     )
 
 
 def unpack_report(host: str, fields: list[Any]) -> Report:
     """Returns the report that a VM sent."""
-    number, outcome, seconds = fields
-    return Report((host, int(number)), Outcome(outcome), seconds / _MILLIS)
+    number, outcome, seconds, was_rested = fields
+    return Report(
+        (host, int(number)),
+        Outcome(outcome),
+        seconds / _MILLIS,
+        bool(was_rested),
+    )
 
 
 def _to_millis(seconds: float) -> int:
     return int(seconds * _MILLIS)
+
+
+def _to_optional_millis(seconds: float | None) -> int | None:
+    return None if seconds is None else _to_millis(seconds)
+
+
+def _to_optional_seconds(millis: int | None) -> float | None:
+    return None if millis is None else millis / _MILLIS
--- a/packages/decisions/src/jacinthcroft_decisions/dispatch.py
+++ b/packages/decisions/src/jacinthcroft_decisions/dispatch.py
@@ -1,5 +1,8 @@
 """Placing, queueing, refusing: the decisions of a fleet without a VM list."""
 
+from jacinthcroft_decisions.internal.dispatch.connection_trust import (
+    RESTED_SECONDS,
+)
 from jacinthcroft_decisions.internal.dispatch.decider import Decider
 from jacinthcroft_decisions.internal.dispatch.documents import (
     CallerLimits,
@@ -23,6 +26,7 @@
 from jacinthcroft_decisions.internal.dispatch.terms import DispatchTerms
 
 __all__ = (
+    'RESTED_SECONDS',
     'Ask',
     'AskKey',
     'CallerLimits',
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/decider.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/decider.py
@@ -300,6 +300,10 @@
             entry.host,
             entry.port,
             patience_of(ask, waiting.norm),
+            board.trust.max_rest(
+                ask.number,
+                is_repeatable=ask.is_repeatable and ask.attempt == 1,
+            ),
         )
         self._remember(grant)
         return grant
@@ -313,6 +317,9 @@
         now: float,
     ) -> None:
         record.finish(report.key, report.outcome, report.seconds, now)
+        if report.was_rested:
+            is_stale = report.outcome is Outcome.STALE
+            board.trust.take(was_reset=is_stale)
         fingerprint = running.ask.fingerprint
         if report.outcome is Outcome.SERVED:
             board.norms.take(running.ask.route, report.seconds)
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/messages.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/messages.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from attrs import field, frozen
+from attrs import frozen
 
 
 class Outcome(enum.IntEnum):
@@ -24,6 +24,8 @@
     SILENT = 6
     # The caller left, or another send of the same request was faster.
     ABANDONED = 7
+    # A connection that had been kept was reset instead of an answer.
+    STALE = 8
 
 
 class RefusalReason(enum.IntEnum):
@@ -73,7 +75,8 @@
     """Leave to send a request to a target, once.
 
     `patience` is how long to wait for an answer, in seconds, before a
-    repeatable request may ask for a second target.
+    repeatable request may ask for a second target. `max_rest` is for how many
+    seconds a connection may have rested to be used; None is for any time.
     """
 
     key: AskKey
@@ -81,6 +84,7 @@
     host: str
     port: int
     patience: float
+    max_rest: float | None = None
 
 
 @frozen
@@ -97,9 +101,12 @@
 
 @frozen
 class Report:
-    """How a granted send ended, and after how many seconds."""
+    """How a granted send ended, and after how many seconds.
+
+    `was_rested` tells that it went over a connection that had rested.
+    """
 
     key: AskKey
     outcome: Outcome
     seconds: float
-    cold_left: float = field(default=0.0)
+    was_rested: bool = False
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/service_board.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/service_board.py
@@ -11,6 +11,9 @@
 from jacinthcroft_decisions.internal.dispatch.cold_allowance import (
     ColdAllowance,
 )
+from jacinthcroft_decisions.internal.dispatch.connection_trust import (
+    ConnectionTrust,
+)
 from jacinthcroft_decisions.internal.dispatch.documents import (
     ServiceTerms,
     TargetEntry,
@@ -50,6 +53,7 @@
     records: dict[str, TargetRecord] = field(factory=dict)
     rates: ArrivalRates = field(factory=ArrivalRates)
     norms: LatencyNorms = field(factory=LatencyNorms)
+    trust: ConnectionTrust = field(factory=ConnectionTrust)
     _usable: set[str] = field(factory=set)
     _cold: dict[str, ColdAllowance] = field(factory=dict)
 
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/target_record.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/target_record.py
@@ -40,7 +40,9 @@
 _ANSWERED: Final = frozenset(
     (Outcome.SERVED, Outcome.ERROR, Outcome.SHED),
 )
-_TROUBLES: Final = frozenset((Outcome.BROKEN, Outcome.SILENT))
+_TROUBLES: Final = frozenset(
+    (Outcome.BROKEN, Outcome.SILENT, Outcome.STALE),
+)
 
 
 class Standing(enum.IntEnum):
@@ -132,28 +134,39 @@
     ) -> None:
         """Takes in how a send ended."""
         run = self.running.pop(key, Run(now, Norm(seconds)))
-        vm = key[0]
-        if outcome in _ANSWERED:
-            # The connection is good, whatever came over it.
-            self.paths[vm] = now
-        elif outcome in _TROUBLES:
-            self.paths.pop(vm, None)
+        self._note_path(key[0], outcome, now)
         if outcome is Outcome.SERVED:
             self._take_success(seconds, run.norm, now)
             self.proven_at = max(self.proven_at, run.started)
         elif outcome is Outcome.ERROR:
             self._take_error(now)
-        elif outcome is Outcome.UNREACHABLE:
-            self._block_path(vm, now)
+        elif outcome is Outcome.STALE:
+            self._take_stale(now)
         elif self._is_against(outcome, run.started):
             self._take_trouble(now)
 
+    def _note_path(self, vm: str, outcome: Outcome, now: float) -> None:
+        if outcome in _ANSWERED:
+            # The connection is good, whatever came over it.
+            self.paths[vm] = now
+        elif outcome in _TROUBLES:
+            self.paths.pop(vm, None)
+        elif outcome is Outcome.UNREACHABLE:
+            self._block_path(vm, now)
+
     def _is_against(self, outcome: Outcome, started: float) -> bool:
         if outcome is Outcome.SILENT:
             # An answer to a later request speaks for the target.
             return self.served_at <= started
         return outcome is Outcome.BROKEN
 
+    def _take_stale(self, now: float) -> None:
+        # It may have forgotten the connection, or reset the request: it is
+        # doubtful until its next answer, but not left alone.
+        if self._trouble_at <= self.served_at:
+            self._trouble_at = now
+            self._avoid_seconds = 0
+
     def _take_error(self, now: float) -> None:
         self._errors += 1
         if self._errors >= ERRORS_IN_A_ROW:
@@ -172,8 +185,10 @@
 
     def _take_trouble(self, now: float) -> None:
         if self._trouble_at > self.served_at:
-            doubled = self._avoid_seconds * 2
+            doubled = max(AVOID_SECONDS, self._avoid_seconds * 2)
             self._avoid_seconds = min(MAX_AVOID_SECONDS, doubled)
+        else:
+            self._avoid_seconds = AVOID_SECONDS
         self._trouble_at = now
 
     def _block_path(self, vm: str, now: float) -> None:
--- a/packages/http/src/jacinthcroft_http/internal/answer.py
+++ b/packages/http/src/jacinthcroft_http/internal/answer.py
@@ -49,6 +49,11 @@
         """Whether the whole body has come, so that reading never waits."""
         return self._is_ended
 
+    @property
+    def rested(self) -> float | None:
+        """For how long its connection had been idle, None for a new one."""
+        return self._connection.rested
+
     @property
     def body(self) -> AsyncIterator[bytes]:
         """The body's chunks.
--- a/packages/http/src/jacinthcroft_http/internal/client_connection.py
+++ b/packages/http/src/jacinthcroft_http/internal/client_connection.py
@@ -33,6 +33,7 @@
         super().__init__(h11.CLIENT, MAX_ANSWER_HEAD_BYTES)
         self.key = key
         self.idle_since: float | None = None
+        self.rested: float | None = None
         self._on_released = on_released
         self._on_closed = on_closed
         self._timeout = Timeout()
@@ -72,12 +73,20 @@
             return False
         return now() < self.idle_since + idle_timeout and self.is_quiet
 
+    def has_rested(self, seconds: float | None) -> bool:
+        """Whether it has been idle for longer than so many seconds."""
+        if seconds is None or self.idle_since is None:
+            return False
+        return now() > self.idle_since + seconds
+
     def begin(
         self,
         seconds: float,
         on_over: Callable[[], None] | None = None,
     ) -> None:
         """Begins an exchange that must end within some seconds."""
+        if self.idle_since is not None:
+            self.rested = now() - self.idle_since
         self.idle_since = None
         self._on_over = on_over
         self._timeout.start(seconds, self._expire)
--- a/packages/http/src/jacinthcroft_http/internal/messages.py
+++ b/packages/http/src/jacinthcroft_http/internal/messages.py
@@ -129,7 +129,8 @@
 
     `host` is an IP number. Iterated bodies are sent with the Content-Length
     among the headers, or else in chunks. `time_left_header` names a header
-    that tells the other side how many milliseconds it has.
+    that tells the other side how many milliseconds it has. `max_rest` is for
+    how many seconds a connection may have been idle to be used.
     """
 
     host: str
@@ -139,6 +140,7 @@
     headers: Headers = field(default=Headers(), converter=as_headers)
     body: bytes | AsyncIterator[bytes] | None = None
     time_left_header: str | None = None
+    max_rest: float | None = None
 
     def with_time_left(self, seconds: float) -> 'OutgoingRequest':
         """Returns the request with its time left among the headers.
--- a/packages/http/src/jacinthcroft_http/internal/outcomes.py
+++ b/packages/http/src/jacinthcroft_http/internal/outcomes.py
@@ -54,10 +54,15 @@
 
 @dataclass(frozen=True)
 class Interrupted:
-    """An attempt that failed after its first byte may have left."""
+    """An attempt that failed after its first byte may have left.
+
+    `rested` is for how many seconds its connection had been idle before, or
+    None if it was new or an answer had begun.
+    """
 
     reason: InterruptedReason
     detail: str
+    rested: float | None = None
 
 
 class BodyCut(Exception):
--- a/packages/http/src/jacinthcroft_http/internal/pool.py
+++ b/packages/http/src/jacinthcroft_http/internal/pool.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Self
 
 from attrs import frozen
@@ -14,7 +15,7 @@
 from jacinthcroft_http.internal.clock import now
 from jacinthcroft_http.internal.exchange import SendOutcome, exchange
 from jacinthcroft_http.internal.messages import OutgoingRequest
-from jacinthcroft_http.internal.outcomes import NothingSent
+from jacinthcroft_http.internal.outcomes import Interrupted, NothingSent
 from jacinthcroft_http.internal.waiting import Timeout
 
 
@@ -75,7 +76,7 @@
             BodyCut: If the request's own iterated body breaks off.
         """
         expiry = now() + timeout
-        connection = self._take_idle((request.host, request.port))
+        connection = self._take_idle(request)
         if connection is None:
             opened = await self._connect(request, timeout)
             if isinstance(opened, NothingSent):
@@ -87,7 +88,10 @@
             return NothingSent('timeout', 'time ran out before the write')
         connection.begin(left, on_over)
         timed = request.with_time_left(left)
-        return await exchange(connection, timed, before_first_byte)
+        outcome = await exchange(connection, timed, before_first_byte)
+        if isinstance(outcome, Interrupted):
+            return replace(outcome, rested=connection.rested)
+        return outcome
 
     async def close(self) -> None:
         """Closes every connection, also those in use."""
@@ -98,10 +102,14 @@
         # The transports report their end on the loop's next turn.
         await asyncio.sleep(0)
 
-    def _take_idle(self, key: PoolKey) -> ClientConnection | None:
-        idle = self._idle.get(key, [])
+    def _take_idle(self, request: OutgoingRequest) -> ClientConnection | None:
+        idle = self._idle.get((request.host, request.port), [])
         while idle:
-            connection = idle.pop()
+            # The last one has rested for the shortest time.
+            connection = idle[-1]
+            if connection.has_rested(request.max_rest):
+                return None
+            idle.pop()
             if connection.is_usable(self._limits.idle_timeout):
                 return connection
             connection.close()
@@ -137,9 +145,11 @@
 
     def _on_released(self, connection: ClientConnection) -> None:
         idle = self._idle.setdefault(connection.key, [])
-        if self._is_closed or len(idle) >= self._limits.max_idle_per_address:
+        if self._is_closed:
             connection.close()
             return
+        if len(idle) >= self._limits.max_idle_per_address:
+            idle.pop(0).close()
         idle.append(connection)
         if not self._sweep_timeout.is_pending:
             self._schedule_sweep()
--- a/packages/testkit/src/jacinthcroft_testkit/internal/dispatch_play.py
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/dispatch_play.py
@@ -14,6 +14,7 @@
 
 from attrs import define, field, frozen
 from jacinthcroft_decisions.dispatch import (
+    RESTED_SECONDS,
     Ask,
     Decider,
     Decision,
@@ -39,7 +40,9 @@
 
     `sick_share` is the part of the time that a target is in an episode, in
     which it hangs in `hang_share` of its requests. `short_share` of the
-    requests go to another route, and take `short_work`.
+    requests go to another route, and take `short_work`. The first
+    `forget_share` of the targets forget connections that rested longer than
+    `forget_seconds`.
     """
 
     targets: tuple[TargetEntry, ...]
@@ -56,6 +59,8 @@
     vms: int = 24
     short_share: float = 0.0
     short_work: float = 0.005
+    forget_share: float = 0.0
+    forget_seconds: float = 0.2
 
 
 @frozen
@@ -154,6 +159,7 @@
     _most_running: int = 0
     _used: dict[tuple[str, str], float] = field(factory=dict)
     _sends: list[tuple[float, str]] = field(factory=list)
+    _rested: set[tuple[str, int]] = field(factory=set)
     _now: float = 0
 
     def run(self) -> PlayResult:
@@ -275,8 +281,16 @@
         self._sends.append((self._now, grant.target_id))
         path = (request.vm, grant.target_id)
         idle = self._now - self._used.get(path, -IDLE_SECONDS)
-        self._tally['connections'] += idle >= IDLE_SECONDS
+        is_kept = idle < min(IDLE_SECONDS, grant.max_rest or IDLE_SECONDS)
+        was_rested = is_kept and idle >= RESTED_SECONDS
+        self._tally['connections'] += not is_kept
+        if was_rested and self._has_forgotten(target, idle):
+            self._used.pop(path)
+            self._lose(request, grant)
+            return
         self._used[path] = self._now
+        if was_rested:
+            self._rested.add(grant.key)
         if target.running >= target.entry.slots + TARGET_QUEUE:
             self._report(grant, Outcome.SHED, self._now)
             return
@@ -287,6 +301,22 @@
             again = self._now + grant.patience
             self._at(again, lambda: self._try_again(request))
 
+    def _has_forgotten(self, target: _Target, idle: float) -> bool:
+        load = self.load
+        place = load.targets.index(target.entry)
+        is_forgetting = place < load.forget_share * len(load.targets)
+        return is_forgetting and idle > load.forget_seconds
+
+    def _lose(self, request: _Request, grant: Grant) -> None:
+        """Ends a send that met a forgotten connection."""
+        self._rested.add(grant.key)
+        self._report(grant, Outcome.STALE, self._now)
+        if request.is_repeatable and request.sends == 1:
+            self._ask(request)
+        elif not request.is_repeatable:
+            request.is_over = True
+            self._tally['failed'] += 1
+
     def _try_again(self, request: _Request) -> None:
         if not request.is_over:
             self._ask(request)
@@ -335,7 +365,12 @@
         self._tally['in_objective'] += is_in_time
 
     def _report(self, grant: Grant, outcome: Outcome, begun: float) -> None:
-        report = Report(grant.key, outcome, self._now - begun)
+        report = Report(
+            grant.key,
+            outcome,
+            self._now - begun,
+            grant.key in self._rested,
+        )
         for decision in self.policy.report(report, self._now):
             self._take(decision)
 
--- a/tests/cover/dispatch/test_heavy_loads.py
+++ b/tests/cover/dispatch/test_heavy_loads.py
@@ -4,6 +4,10 @@
 """
 
 import pytest
+from jacinthcroft_decisions.internal.dispatch.connection_trust import (
+    TRIAL_EVERY,
+    ConnectionTrust,
+)
 from jacinthcroft_testkit.internal.dispatch_play import (
     Load,
     PlayResult,
@@ -81,3 +85,23 @@
     played = _play(load, seed)
     assert played.served_share > URGENT_SHARE
     assert 20 * played.refused_late < played.sent
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_forgotten_connections_cost_hardly_more_than_a_gray_day(
+    seed: int,
+) -> None:
+    # Half of the targets reset what comes over a connection that rested.
+    forgetful = _play(Load(TARGETS, 74, SECONDS, forget_share=0.5), seed)
+    assert forgetful.served_share > URGENT_SHARE
+
+
+def test_connections_are_kept_again_once_the_targets_keep_them() -> None:
+    trust = ConnectionTrust()
+    for _ in range(10):
+        trust.take(was_reset=True)
+    assert trust.max_rest(1, is_repeatable=False) is not None
+    assert trust.max_rest(TRIAL_EVERY, is_repeatable=True) is None
+    for _ in range(50):
+        trust.take(was_reset=False)
+    assert trust.max_rest(1, is_repeatable=False) is None
--- a/tests/cover/http/test_http_pool.py
+++ b/tests/cover/http/test_http_pool.py
@@ -470,3 +470,41 @@
         lines = heads[0].strip().split(b'\r\n')[1:]
         fields = dict(line.split(b': ', 1) for line in lines)
         assert 0 < int(fields[b'deadline-ms']) <= 1500
+
+
+async def _keep_one(pool: ConnectionPool, port: int) -> None:
+    """Leaves a connection idle for a while."""
+    assert await ask(pool, port) == b'abc'
+    await asyncio.sleep(0.05)
+
+
+@in_loop
+async def test_a_connection_that_rested_too_long_for_a_request_is_left() -> (
+    None
+):
+    async with scripted(WHOLE, WHOLE) as (port, _), serving() as bench:
+        await _keep_one(bench.pool, port)
+        impatient = OutgoingRequest(HOST, port, 'GET', '/', max_rest=0.01)
+        patient = OutgoingRequest(HOST, port, 'GET', '/', max_rest=10)
+        assert await read(await bench.pool.send(impatient, 1.0)) == b'abc'
+        assert bench.pool.open_connections(HOST, port) == 2
+        await read(await bench.pool.send(patient, 1.0))
+        assert bench.pool.open_connections(HOST, port) <= 2
+
+
+@in_loop
+async def test_an_interruption_tells_how_long_its_connection_rested() -> None:
+    async with scripted(WHOLE, b'') as (port, _), serving() as bench:
+        await _keep_one(bench.pool, port)
+        outcome = await ask(bench.pool, port)
+        assert isinstance(outcome, Interrupted)
+        assert outcome.rested is not None
+        assert outcome.rested > 0
+
+
+@in_loop
+async def test_an_interruption_of_a_new_connection_tells_no_rest() -> None:
+    async with scripted(b'') as (port, _), serving() as bench:
+        outcome = await ask(bench.pool, port)
+        assert isinstance(outcome, Interrupted)
+        assert outcome.rested is None
