Use connections for as long as targets say; weigh bodies to other zones by their price

Cause: kept connections were used for 7.5 s whatever the target announced: too long for one that keeps them 5 s, too short for one that keeps them 10 s. Change: Keep-Alive of the answer less 1 s goes before the default; 48 instead of 16 cost a MiB; a second of stale proof costs 1 instead of 2.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/vm.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/vm.py
@@ -45,8 +45,8 @@
 from jacinthcroft_daemon.internal.seeded.vm_metrics import Gauges, VmMetrics
 from jacinthcroft_daemon.internal.telemetry.events import log_event
 
-# Connections to targets: kept for less than targets keep theirs, and opened
-# within a few round trips or not at all; in seconds.
+# Connections to targets: kept for so long if they do not say how long they
+# keep theirs, and opened within a few round trips or not at all; in seconds.
 MAX_IDLE_PER_TARGET: Final = 4
 TARGET_IDLE_SECONDS: Final = 7.5
 TARGET_CONNECT_SECONDS: Final = 0.3
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/placement.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/placement.py
@@ -25,15 +25,16 @@
 
 # Costs that are compared between targets of the same standing: another
 # running request, a new connection, another zone, and each MiB of body sent
-# to another zone.
+# to another zone. The last three follow what operators pay for each
+# (docs/MEASURES.md): a body of 25 KB to another zone costs a new connection.
 RUNNING_COST: Final = 1.0
 CONNECT_COST: Final = 1.2
 ZONE_COST: Final = 0.15
-ZONE_BODY_COST_PER_MIB: Final = 16.0
+ZONE_BODY_COST_PER_MIB: Final = 48.0
 COLD_COST: Final = 2.0
 # What a second since the last proof of health costs a request that may run
 # only once, and what finding out is worth for one that may be repeated.
-STALE_COST: Final = 2.0
+STALE_COST: Final = 1.0
 PROBE_GAIN: Final = 1.0
 # Mean latencies that a second send needs to answer in time, and that the
 # first one is given in any case.
--- a/packages/http/src/jacinthcroft_http/internal/client_connection.py
+++ b/packages/http/src/jacinthcroft_http/internal/client_connection.py
@@ -10,6 +10,9 @@
 from jacinthcroft_http.internal.wire import Wire
 
 MAX_ANSWER_HEAD_BYTES: Final = 65536
+# A request has to arrive before the other side closes an idle connection:
+# time for its way, for a busy process and for clocks that differ, in seconds.
+KEEP_ALIVE_MARGIN_SECONDS: Final = 1.0
 
 PoolKey = tuple[str, int]
 
@@ -34,6 +37,8 @@
         self.key = key
         self.idle_since: float | None = None
         self.rested: float | None = None
+        # For how long the other side says it keeps the connection, seconds.
+        self.kept_seconds: float | None = None
         self._on_released = on_released
         self._on_closed = on_closed
         self._timeout = Timeout()
@@ -66,11 +71,14 @@
     def is_usable(self, idle_timeout: float) -> bool:
         """Whether a request may go out on this idle connection.
 
-        Unasked bytes or the other side's close, even if still in the
-        kernel, make it unusable.
+        What the other side says of the time it keeps the connection goes
+        before `idle_timeout`. Unasked bytes or the other side's close, even
+        if still in the kernel, make it unusable.
         """
         if self.idle_since is None or not self.is_open:
             return False
+        if self.kept_seconds is not None:
+            idle_timeout = self.kept_seconds - KEEP_ALIVE_MARGIN_SECONDS
         return now() < self.idle_since + idle_timeout and self.is_quiet
 
     def has_rested(self, seconds: float | None) -> bool:
--- a/packages/http/src/jacinthcroft_http/internal/exchange.py
+++ b/packages/http/src/jacinthcroft_http/internal/exchange.py
@@ -77,6 +77,7 @@
         connection.close()
         return Interrupted('reset', 'closed without an answer')
     headers = Headers.from_wire(event.headers.raw_items())
+    connection.kept_seconds = _kept_seconds(headers)
     is_framed = _is_framed(request, event.status_code, headers)
     answer = Answer(event.status_code, headers, is_framed, connection)
     answer.take_what_came()
@@ -118,6 +119,15 @@
     )
 
 
+def _kept_seconds(headers: Headers) -> float | None:
+    """Returns for how long the other side keeps the connection, if told."""
+    for parameter in (headers.get('keep-alive') or '').split(','):
+        name, _, seconds = parameter.strip().partition('=')
+        if name.lower() == 'timeout' and seconds.isdecimal():
+            return float(seconds)
+    return None
+
+
 def _is_informational(event: Event) -> bool:
     return isinstance(event, h11.InformationalResponse)
 
--- a/tests/cover/http/test_http_pool.py
+++ b/tests/cover/http/test_http_pool.py
@@ -508,3 +508,21 @@
         outcome = await ask(bench.pool, port)
         assert isinstance(outcome, Interrupted)
         assert outcome.rested is None
+
+
+@pytest.mark.parametrize(
+    ('told', 'is_kept'),
+    [(b'timeout=1', False), (b'max=9, timeout=20', True), (b'nonsense', True)],
+)
+@in_loop
+async def test_a_connection_is_used_for_less_than_its_target_keeps_it(
+    told: bytes,
+    is_kept: bool,
+) -> None:
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\nKeep-Alive: %b\r\n\r\nabc'
+    async with scripted(head % told, WHOLE) as (port, _), serving() as bench:
+        await _keep_one(bench.pool, port)
+        request = OutgoingRequest(HOST, port, 'GET', '/')
+        outcome = await bench.pool.send(request, 1.0)
+        assert isinstance(outcome, Answer)
+        assert (outcome.rested is not None) is is_kept
