Send nothing more to a target whose address is another's

Ruled out: too small a budget (it stays within the stated one). Change: a 421 takes the target out until its entry changes. Tests fail before.

--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/service_board.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/service_board.py
@@ -94,6 +94,7 @@
             elif record.entry != entry:
                 record.entry = entry
                 record.cold_until = now + entry.cold_left
+                record.is_displaced = False
         for target in list(self.records):
             self._forget_if_gone(target, now)
         self._free = {}
@@ -157,12 +158,15 @@
     def _note_slots(self, record: TargetRecord) -> None:
         target = record.entry.target_id
         has_slot = len(record.running) < record.entry.slots
-        if has_slot and target in self._usable:
+        is_there = target in self._usable and not record.is_displaced
+        if has_slot and is_there:
             self._free[target] = record
         else:
             self._free.pop(target, None)
 
     def _slots_of(self, record: TargetRecord, now: float) -> float:
+        if record.is_displaced:
+            return 0
         if record.standing(now) <= Standing.UNKNOWN:
             return record.entry.slots
         free = record.entry.slots - len(record.running)
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/target_record.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/target_record.py
@@ -78,6 +78,8 @@
     # When the latest request was sent that was served: until then the target
     # was well.
     proven_at: float = -math.inf
+    # Another target answers at its address: until its entry says otherwise.
+    is_displaced: bool = False
     _trouble_at: float = -math.inf
     _avoid_seconds: float = AVOID_SECONDS
     _errors: int = 0
@@ -153,6 +155,8 @@
             self.paths.pop(vm, None)
         elif outcome is Outcome.UNREACHABLE:
             self._block_path(vm, now)
+        elif outcome is Outcome.MISPLACED:
+            self.is_displaced = True
 
     def _is_against(self, outcome: Outcome, started: float) -> bool:
         if outcome is Outcome.SILENT:
--- a/tests/cover/dispatch/test_deciding.py
+++ b/tests/cover/dispatch/test_deciding.py
@@ -246,3 +246,24 @@
     ]
     targets = {one.target_id for one in others if isinstance(one, Grant)}
     assert blocked in targets
+
+
+def test_a_target_whose_address_is_anothers_gets_nothing_more() -> None:
+    # Found on trouble-1 of hbr-gateway: 127 sends, each a repeated one.
+    targets = [make_target(1), make_target(2)]
+    decider = make_decider(targets)
+    displaced = _serve(decider, 1, 0, Outcome.MISPLACED, seconds=0.01)
+    others = {_serve(decider, number, 1 + number) for number in range(2, 30)}
+    assert displaced not in others
+
+
+def test_a_request_is_refused_at_once_when_no_target_is_at_its_address() -> (
+    None
+):
+    decider = make_decider([make_target(1)])
+    _serve(decider, 1, 0, Outcome.MISPLACED, seconds=0.01)
+    decision = decider.decide(make_ask(2), 'a', 1)
+    assert isinstance(decision, Refusal)
+    moved = make_target(1, host='10.0.9.9')
+    decider.adopt(make_documents([moved]), 2)
+    assert _serve(decider, 3, 3) == 't1'
