--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SOURCES := packages platform tests
 PYTEST := $(BIN)/python -m pytest
 
-.PHONY: help install demo test cover slow lint format types bench clean
+.PHONY: help install demo test cover slow soak lint format types bench clean
 
 help: ## List the chores.
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /  /'
@@ -43,6 +43,9 @@
 	$(BIN)/flake8 $(SOURCES)
 	$(BIN)/lint-imports
 
+soak: install ## Play five seeds of faults against the real programs.
+	$(BIN)/python -m tests.soak
+
 bench: install ## Measure against the baselines; writes out/bench.json and a table.
 	$(BIN)/python -m jacinthcroft_testkit.bench
 
--- a/tests/cover/seeded/seeded_fleet.py
+++ b/tests/cover/seeded/seeded_fleet.py
@@ -75,7 +75,12 @@
     return Response(400)
 
 
-def route(prefix: str, kind: str, service: str = 'svc') -> dict[str, Any]:
+def route(
+    prefix: str,
+    kind: str,
+    service: str = 'svc',
+    attempts: int = 2,
+) -> dict[str, Any]:
     """Returns a route as the operators publish it."""
     return {
         'EntryKind': 'Routes',
@@ -88,7 +93,7 @@
             'TargetLatencyMs': 800,
             'Priority': 1,
             'Service': service,
-            'MaxAttempts': 2,
+            'MaxAttempts': attempts,
             'Public': False,
         },
     }
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -72,10 +72,11 @@
 
 
 async def _kill(site: Site, host: str, seconds: float) -> None:
-    site.trouble(host, seconds)
-    await site.end_vm(host, signal.SIGKILL)
-    await asyncio.sleep(seconds / 4)
-    await _restart(site, host)
+    async with site.lock(host):
+        site.trouble(host, seconds)
+        await site.end_vm(host, signal.SIGKILL)
+        await asyncio.sleep(seconds / 4)
+        await _restart(site, host)
 
 
 @_fault
@@ -86,14 +87,21 @@
 ) -> None:
     """Planned stops, one after the other, while callers stay connected."""
     for host in source.sample(site.hosts, 2):
-        begun = now()
-        code = await site.end_vm(host, signal.SIGTERM)
-        assert code in {0, -signal.SIGKILL}, f'{host} ended with {code}'
-        site.stops.append(Span(host, begun, now()))
-        await _restart(site, host)
+        async with site.lock(host):
+            await _stop_and_restart(site, host)
     await asyncio.sleep(seconds / 4)
 
 
+async def _stop_and_restart(site: Site, host: str) -> None:
+    begun = now()
+    # Before its ports are open a process may end by the signal itself.
+    allowed = {0} if site.has_started(host) else {0, -signal.SIGTERM}
+    code = await site.end_vm(host, signal.SIGTERM)
+    assert code in allowed, f'{host} ended with {code}'
+    site.stops.append(Span(host, begun, now()))
+    await _restart(site, host)
+
+
 @_fault
 async def vm_reloads(site: Site, source: random.Random, seconds: float) -> None:
     """SIGHUP with an unchanged file, several times."""
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import signal
+from collections import Counter
 from typing import Any, Final
 
 from attrs import define, field
@@ -25,6 +26,7 @@
     ProcessGroup,
 )
 
+from tests.cover.seeded.seeded_fleet import route
 from tests.cover.seeded.store_stand_in import StoreStandIn
 from tests.soak.checks import (
     COLD_OVERSHOOT,
@@ -97,6 +99,8 @@
     keys: list[str] = field(factory=list)
     _addresses: dict[str, Address] = field(factory=dict)
     _vms: dict[str, ManagedProcess] = field(factory=dict)
+    _locks: dict[str, asyncio.Lock] = field(factory=dict)
+    _starts: Counter[str] = field(factory=Counter)
     _version: int = 1
     _names: int = 0
     _processes: ProcessGroup = field(init=False)
@@ -168,8 +172,18 @@
         document = _entry(target, self._addresses[target_id], state)
         await self.store.put(f'servers/{target_id}', document)
 
+    def lock(self, host: str) -> asyncio.Lock:
+        """Whoever ends and starts a VM's process holds its lock."""
+        return self._locks.setdefault(host, asyncio.Lock())
+
+    def has_started(self, host: str) -> bool:
+        """Whether a VM's latest process has opened its ports."""
+        log = (self.folder / f'{host}.log').read_text()
+        return log.count('event=started') >= self._starts[host]
+
     async def start_vm(self, host: str) -> None:
         """Starts a VM's process; it is in trouble until it is ready."""
+        self._starts[host] += 1
         settings = self.folder / f'{host}.toml'
         settings.write_text(self._settings(host))
         environment = {**os.environ, 'JACINTHCROFT_CONFIG': str(settings)}
@@ -260,8 +274,8 @@
 
 def _configuration(version: int, keys: list[str]) -> Any:
     resources: list[Any] = [
-        _route('/safe/', 'safe', attempts=2),
-        _route('/unsafe/', 'unsafe', attempts=1),
+        route('/safe/', 'safe', SERVICE),
+        route('/unsafe/', 'unsafe', SERVICE, attempts=1),
         {
             'EntryKind': 'Services',
             'Metadata': {'Name': SERVICE},
@@ -285,20 +299,3 @@
             {'EntryKind': 'Tenants', 'Metadata': metadata, 'Spec': spec},
         )
     return {'Version': f'{version:08x}', 'Resources': resources}
-
-
-def _route(prefix: str, kind: str, attempts: int) -> Any:
-    return {
-        'EntryKind': 'Routes',
-        'Metadata': {'Name': prefix},
-        'Spec': {
-            'Hostname': 'h.example',
-            'Prefix': prefix,
-            'RouteType': kind,
-            'TimeoutMs': 1500,
-            'TargetLatencyMs': 800,
-            'Priority': 1,
-            'Service': SERVICE,
-            'MaxAttempts': attempts,
-        },
-    }
