Close links in the test kit without leaving cancelled tasks behind

The soak ended links by cancelling their tasks, which printed a traceback a run. Links are closed and their connections reset now; the test fails before (there was no close).

--- a/packages/testkit/src/jacinthcroft_testkit/internal/links.py
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/links.py
@@ -83,6 +83,8 @@
         self._server: asyncio.Server | None = None
         self._port = 0
         self._writers: set[asyncio.StreamWriter] = set()
+        self._is_unused = asyncio.Event()
+        self._is_unused.set()
         self._passed_bytes = 0
 
     @property
@@ -129,6 +131,15 @@
         elif self._server is None:
             await self.listen()
 
+    async def close(self) -> None:
+        """Stops listening and resets all connections."""
+        self._stop_listening()
+        for direction in Direction:
+            self._settings[direction] = Setting()
+        self._changed.set()
+        self._reset_all()
+        await self._is_unused.wait()
+
     async def wait_while_frozen(self, direction: Direction) -> None:
         """Returns as soon as the direction is not frozen."""
         while self._settings[direction].mode is Mode.FREEZE:
@@ -164,10 +175,13 @@
             return
         ends = {writer, far_writer}
         self._writers |= ends
+        self._is_unused.clear()
         forward = _Pipe(self, Direction.FORWARD, reader, far_writer)
         backward = _Pipe(self, Direction.BACKWARD, far_reader, writer)
         await asyncio.gather(forward.carry(), backward.carry())
         self._writers -= ends
+        if not self._writers:
+            self._is_unused.set()
         for end in ends:
             end.close()
 
@@ -186,6 +200,11 @@
         self._links[name] = link
         return link.address
 
+    async def close(self) -> None:
+        """Closes all links."""
+        for link in self._links.values():
+            await link.close()
+
     def passed_bytes(self, pattern: str) -> dict[str, int]:
         """Returns the bytes that went through links of a pattern."""
         names = fnmatch.filter(self._links, pattern)
--- a/tests/cover/testkit/test_links.py
+++ b/tests/cover/testkit/test_links.py
@@ -160,3 +160,22 @@
         assert await table.change('*>t1', _FORWARD, frozen) == 2
 
     _run(scenario)
+
+
+def test_a_closed_table_ends_its_connections_and_takes_no_more() -> None:
+    async def scenario(table: LinkTable, address: Address) -> None:
+        reader, writer = await _open(address)
+        writer.write(b'x')
+        assert await reader.read(1) == b'x'
+        await table.change(
+            'vm1>t1',
+            (Direction.BACKWARD,),
+            LinkSetting(Mode.FREEZE),
+        )
+        await table.close()
+        with pytest.raises(ConnectionResetError):
+            await reader.readexactly(1)
+        with pytest.raises(OSError, match='Connect'):
+            await _open(address)
+
+    _run(scenario)
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -144,6 +144,7 @@
         """Ends all processes that this run started."""
         await self._processes.end_all()
         await self._pool.close()
+        await self.links.close()
         for target in self.targets.values():
             await target.stop()
         await self.store.stop()
