Send again over a new connection after a forgotten one; keep the larger fleet size

Cause 1: a whole-path test whose targets forget idle connections: both sends of a repeatable request went over rested connections, and the caller got 502. Change: after a reset on a rested connection the next send of that request asks for a new one. The test fails before. Cause 2, by reading: a leader that has just begun may tell followers of a smaller fleet than they were told of, and a partition would then spend more than its part. Change: the larger size counts until it is 300 s old. The test fails before.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/request_flow.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/request_flow.py
@@ -8,8 +8,9 @@
 import asyncio
 from typing import Final
 
-from attrs import define, field
+from attrs import define, evolve, field
 from jacinthcroft_decisions.dispatch import (
+    RESTED_SECONDS,
     Ask,
     Grant,
     Outcome,
@@ -75,6 +76,11 @@
         """Whether it may run a second time."""
         return self.admitted.route.is_repeatable and self.body.is_repeatable
 
+    @property
+    def has_met_stale_connection(self) -> bool:
+        """Whether a kept connection has failed it: then others may too."""
+        return self.failed is not None and self.failed.outcome is Outcome.STALE
+
     def note_failed(self, result: SendResult) -> None:
         """Keeps the result that says most of whether the request ran."""
         if result.may_have_run or self.failed is None:
@@ -237,6 +243,8 @@
     async def _send(self, progress: _Progress, grant: Grant) -> SendResult:
         begun = now()
         progress.runs += 1
+        if progress.has_met_stale_connection:
+            grant = evolve(grant, max_rest=RESTED_SECONDS)
         try:
             result = await self._sender.send(
                 progress.admitted,
--- a/packages/decisions/src/jacinthcroft_decisions/internal/membership/followers.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/membership/followers.py
@@ -104,9 +104,14 @@
         return (hosts + hosts)[turn : turn + OTHERS]
 
     def hear_fleet_size(self, size: int, now: float) -> None:
-        """Takes over what the leader says of the fleet's size."""
-        self._told_size = max(1, size)
-        self._told_at = now
+        """Takes over what the leader says of the fleet's size.
+
+        One that has just begun to lead may know less than was told before.
+        """
+        is_over = now >= self._told_at + FLEET_MEMORY_SECONDS
+        if is_over or size >= self._told_size:
+            self._told_size = size
+            self._told_at = now
 
     def fleet_size(self, now: float) -> int:
         """Returns how many VMs there are, as far as known.
--- a/tests/cover/membership/test_leadership.py
+++ b/tests/cover/membership/test_leadership.py
@@ -256,6 +256,17 @@
     assert sum(shares) <= 1
 
 
+def test_a_leader_that_restarted_does_not_make_others_forget_the_fleet() -> (
+    None
+):
+    followers = Followers()
+    followers.hear_fleet_size(12, 0)
+    followers.hear_fleet_size(2, 10)
+    assert followers.fleet_size(20) == 12
+    followers.hear_fleet_size(2, 400)
+    assert followers.fleet_size(420) == 2
+
+
 def test_a_vm_that_started_into_the_unknown_takes_a_small_share() -> None:
     vm = Fleet(1, seeds=1).vms['h0']
     at_start = vm.followers.share(0)
--- a/tests/cover/seeded/seeded_fleet.py
+++ b/tests/cover/seeded/seeded_fleet.py
@@ -30,7 +30,7 @@
 
 
 class FakeTarget:
-    """A target that answers, hangs, turns down or breaks off."""
+    """A target that answers, hangs, turns down, forgets or breaks off."""
 
     def __init__(self, target_id: str) -> None:
         """Answers well until told otherwise."""
@@ -38,6 +38,7 @@
         self.behaviour = 'serve'
         self.seen: list[IncomingRequest] = []
         self.runs: list[str] = []
+        self.connections: set[str] = set()
         self._server = Server.from_limits(
             ServerLimits(),
             self._answer,
@@ -57,6 +58,11 @@
         headers = request.headers
         if headers.get('x-expect-instance') != self.target_id:
             return Response(421)
+        is_kept = request.remote in self.connections
+        self.connections.add(request.remote)
+        if self.behaviour == 'forget' and is_kept:
+            # Closes the connection without a word.
+            raise asyncio.CancelledError
         if self.behaviour == 'shed':
             return Response(503, [('x-not-executed', '1')])
         request_id = headers.get('x-attempt-id') or ''
--- a/tests/cover/seeded/test_seeded_fleet.py
+++ b/tests/cover/seeded/test_seeded_fleet.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 from jacinthcroft_daemon.internal.seeded.vm import SeededVm
+from jacinthcroft_decisions.dispatch import RESTED_SECONDS
 from jacinthcroft_http import IncomingRequest, Response
 
 from tests.cover.seeded.seeded_fleet import (
@@ -145,6 +146,37 @@
     _play(scene, vms=1)
 
 
+def test_forgotten_connections_cost_a_repeatable_request_nothing() -> None:
+    async def scene(fleet: SeededFleet) -> None:
+        host = fleet.hosts[0]
+        for number in range(6):
+            await fleet.call(host, '/safe/', f'warm{number}')
+        for target in fleet.targets:
+            target.behaviour = 'forget'
+        await asyncio.sleep(2 * RESTED_SECONDS)
+        status, _ = await fleet.call(host, '/safe/', 'r')
+        assert status == 200
+        assert fleet.runs('r') == 1
+
+    _play(scene, vms=1)
+
+
+def test_a_once_only_request_on_a_forgotten_connection_may_have_run() -> None:
+    async def scene(fleet: SeededFleet) -> None:
+        host = fleet.hosts[0]
+        for number in range(6):
+            await fleet.call(host, '/safe/', f'warm{number}')
+        for target in fleet.targets:
+            target.behaviour = 'forget'
+        await asyncio.sleep(2 * RESTED_SECONDS)
+        status, body = await fleet.call(host, '/unsafe/', 'r', method='POST')
+        # Nothing shows whether the target read it before it closed.
+        assert (status, as_json(body)['outcome']) == (502, 'unknown')
+        assert fleet.runs('r') == 0
+
+    _play(scene, vms=1)
+
+
 def test_a_repeatable_request_gets_another_target_when_one_hangs() -> None:
     async def scene(fleet: SeededFleet) -> None:
         fleet.targets[0].behaviour = 'hang'
