--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -1,6 +1,7 @@
 """What must hold, judged by what callers and targets saw.
 
-Bounds are those that the deployment states in `site.BOUNDS`.
+Bounds are those that the VMs' settings and the configuration state
+(`site.py`).
 """
 
 import bisect
