--- a/tests/cover/seeded/test_seeded_fleet.py
+++ b/tests/cover/seeded/test_seeded_fleet.py
@@ -146,14 +146,19 @@
     _play(scene, vms=1)
 
 
+async def _keep_then_forget(fleet: SeededFleet, host: str) -> None:
+    """Leaves connections of a VM idle that its targets have forgotten."""
+    for number in range(6):
+        await fleet.call(host, '/safe/', f'warm{number}')
+    for target in fleet.targets:
+        target.behaviour = 'forget'
+    await asyncio.sleep(2 * RESTED_SECONDS)
+
+
 def test_forgotten_connections_cost_a_repeatable_request_nothing() -> None:
     async def scene(fleet: SeededFleet) -> None:
         host = fleet.hosts[0]
-        for number in range(6):
-            await fleet.call(host, '/safe/', f'warm{number}')
-        for target in fleet.targets:
-            target.behaviour = 'forget'
-        await asyncio.sleep(2 * RESTED_SECONDS)
+        await _keep_then_forget(fleet, host)
         status, _ = await fleet.call(host, '/safe/', 'r')
         assert status == 200
         assert fleet.runs('r') == 1
@@ -164,11 +169,7 @@
 def test_a_once_only_request_on_a_forgotten_connection_may_have_run() -> None:
     async def scene(fleet: SeededFleet) -> None:
         host = fleet.hosts[0]
-        for number in range(6):
-            await fleet.call(host, '/safe/', f'warm{number}')
-        for target in fleet.targets:
-            target.behaviour = 'forget'
-        await asyncio.sleep(2 * RESTED_SECONDS)
+        await _keep_then_forget(fleet, host)
         status, body = await fleet.call(host, '/unsafe/', 'r', method='POST')
         # Nothing shows whether the target read it before it closed.
         assert (status, as_json(body)['outcome']) == (502, 'unknown')
