Forget the order of an empty queue; ask whether there are targets without listing them

Cause, found by reading the change: a turn skips an empty queue, so its kept order held decided asks until the next turn that found it not empty, and each report looked past them; and each ask listed all targets of its service to learn whether there are any. Change: an empty queue drops its order; has_targets reads the set. Decisions are as before. The new test fails before.

--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/decider.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/decider.py
@@ -126,7 +126,7 @@
         if known is not None:
             return known
         board = self._boards.get(ask.service)
-        if board is None or not board.usable:
+        if board is None or not board.has_targets:
             refusal = Refusal(
                 ask.key,
                 RefusalReason.NO_TARGET,
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/service_board.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/service_board.py
@@ -76,6 +76,11 @@
         """The targets that may get requests."""
         return [self.records[target] for target in self._usable]
 
+    @property
+    def has_targets(self) -> bool:
+        """Whether any target may get requests."""
+        return bool(self._usable)
+
     @property
     def has_free_slots(self) -> bool:
         """Whether any target could take one more request."""
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/wait_queue.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/wait_queue.py
@@ -98,12 +98,14 @@
     def discard(self, key: AskKey) -> None:
         """Forgets an ask that was decided or given up."""
         self._waiting.pop(key, None)
+        self._forget_order()
 
     def drop_vm(self, vm: str) -> None:
         """Forgets the asks of a VM that is gone."""
         for key in tuple(self._waiting):
             if key[0] == vm:
                 self._waiting.pop(key)
+        self._forget_order()
 
     def in_order(self, now: float) -> list[Waiting]:
         """Returns all that wait, the first to be served first."""
@@ -150,3 +152,8 @@
         if wait + needed > ask.time_left:
             return max(MIN_RETRY_SECONDS, wait)
         return None
+
+    def _forget_order(self) -> None:
+        # Only a queue that is not empty is put in order anew.
+        if not self._waiting:
+            self._ordered = []
