Close the streams that a test opened before its event loop closes

Cause: Python 3.11.6 closes an open StreamWriter when it is finalised. Links, scripted targets and raw connections now close in finally.

--- a/packages/testkit/src/jacinthcroft_testkit/internal/links.py
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/links.py
@@ -173,12 +173,20 @@
         except OSError:
             reset(writer)
             return
+        except asyncio.CancelledError:
+            reset(writer)
+            raise
         ends = {writer, far_writer}
         self._writers |= ends
         self._is_unused.clear()
         forward = _Pipe(self, Direction.FORWARD, reader, far_writer)
         backward = _Pipe(self, Direction.BACKWARD, far_reader, writer)
-        await asyncio.gather(forward.carry(), backward.carry())
+        try:
+            await asyncio.gather(forward.carry(), backward.carry())
+        finally:
+            self._release(ends)
+
+    def _release(self, ends: set[asyncio.StreamWriter]) -> None:
         self._writers -= ends
         if not self._writers:
             self._is_unused.set()
--- a/tests/cover/http/http_support.py
+++ b/tests/cover/http/http_support.py
@@ -105,8 +105,10 @@
     @contextlib.asynccontextmanager
     async def open_raw_connection(self) -> AsyncIterator[RawConnection]:
         reader, writer = await asyncio.open_connection(HOST, self.port)
-        yield RawConnection(reader, writer)
-        writer.close()
+        try:
+            yield RawConnection(reader, writer)
+        finally:
+            writer.close()
 
 
 @contextlib.asynccontextmanager
@@ -118,9 +120,11 @@
     server = Server.from_limits(limits or ServerLimits(), handler, reject)
     port = await server.start(HOST, 0)
     pool = ConnectionPool.from_limits(PoolLimits())
-    yield ServerAndPool(server, port, pool)
-    await pool.close()
-    await server.drain(0)
+    try:
+        yield ServerAndPool(server, port, pool)
+    finally:
+        await pool.close()
+        await server.drain(0)
 
 
 @contextlib.asynccontextmanager
@@ -139,15 +143,19 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
-            while remaining_responses:
-                heads.append(await reader.readuntil(b'\r\n\r\n'))
-                writer.write(remaining_responses.pop(0))
-        writer.close()
+        try:
+            with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+                while remaining_responses:
+                    heads.append(await reader.readuntil(b'\r\n\r\n'))
+                    writer.write(remaining_responses.pop(0))
+        finally:
+            writer.close()
 
     listener = await asyncio.start_server(serve, HOST, 0)
-    yield listener.sockets[0].getsockname()[1], heads
-    listener.close()
+    try:
+        yield listener.sockets[0].getsockname()[1], heads
+    finally:
+        listener.close()
 
 
 async def wait_until(condition: Callable[[], bool]) -> None:
--- a/tests/cover/testkit/test_links.py
+++ b/tests/cover/testkit/test_links.py
@@ -17,15 +17,20 @@
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 Scenario = Callable[[LinkTable, Address], Awaitable[None]]
 _FORWARD = (Direction.FORWARD,)
+# Closed when a test ends: a stream that is finalised later raises, because its
+# event loop is closed then.
+_opened: list[asyncio.StreamWriter] = []
 
 
 async def _echo(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
 ) -> None:
-    while chunk := await reader.read(100):
-        writer.write(chunk)
-    writer.close()
+    try:
+        while chunk := await reader.read(100):
+            writer.write(chunk)
+    finally:
+        writer.close()
 
 
 @asynccontextmanager
@@ -33,8 +38,13 @@
     server = await asyncio.start_server(_echo, '127.0.0.1')
     host, port = server.sockets[0].getsockname()
     table = LinkTable()
-    yield table, await table.add('vm1>t1', Address(host, port))
-    server.close()
+    try:
+        yield table, await table.add('vm1>t1', Address(host, port))
+    finally:
+        server.close()
+        await table.close()
+        while _opened:
+            reset(_opened.pop())
 
 
 def _run(scenario: Scenario) -> None:
@@ -46,7 +56,9 @@
 
 
 async def _open(address: Address) -> Streams:
-    return await asyncio.open_connection(address.host, address.port)
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    _opened.append(writer)
+    return reader, writer
 
 
 async def _is_quiet(reader: asyncio.StreamReader) -> bool:
@@ -102,8 +114,9 @@
 
     async def watch(
         reader: asyncio.StreamReader,
-        _: asyncio.StreamWriter,
+        accepted: asyncio.StreamWriter,
     ) -> None:
+        _opened.append(accepted)
         await reader.readexactly(5)
         met.set()
         try:
