--- a/packages/http/src/jacinthcroft_http/internal/request_body.py
+++ b/packages/http/src/jacinthcroft_http/internal/request_body.py
@@ -1,10 +1,12 @@
 """The body of the request that a connection is serving."""
 
+import asyncio
 from typing import Final
 
 import h11
 
 from jacinthcroft_http.internal.base_connection import BaseConnection
+from jacinthcroft_http.internal.event_reader import Event
 from jacinthcroft_http.internal.outcomes import BodyCut, Interrupted
 
 _CONTINUE_RESPONSE: Final = h11.InformationalResponse(
@@ -17,9 +19,15 @@
 class RequestBody:
     """Chunks of a request body, received as the handler reads them."""
 
-    def __init__(self, connection: BaseConnection) -> None:
-        """Creates the body of the request that the connection receives."""
+    def __init__(self, connection: BaseConnection, timeout: float) -> None:
+        """Creates the body of the request that the connection receives.
+
+        Args:
+            connection: The connection.
+            timeout: Seconds that the handler waits for the next bytes.
+        """
         self._connection = connection
+        self._timeout = timeout
 
     @property
     def is_ended(self) -> bool:
@@ -34,12 +42,16 @@
         """Returns the next chunk.
 
         Raises:
-            BodyCut: If the caller violates the protocol or disconnects.
+            BodyCut: If the caller violates the protocol, disconnects or stops
+                sending.
         """
         if self.is_ended:
             raise StopAsyncIteration
         try:
             event = await self._next_event()
+        except TimeoutError as error:
+            detail = f'no bytes of the body for {self._timeout} s'
+            raise BodyCut(Interrupted('timeout', detail)) from error
         except h11.RemoteProtocolError as error:
             raise BodyCut(Interrupted('protocol', str(error))) from error
         except OSError as error:
@@ -58,9 +70,12 @@
             if self._connection.reader.receive_now() is h11.NEED_DATA:
                 return
 
-    async def _next_event(self) -> object:
-        if self._connection.parser.they_are_waiting_for_100_continue:
-            await self._connection.write(
-                self._connection.encode(_CONTINUE_RESPONSE)
-            )
-        return await self._connection.reader.receive()
+    async def _next_event(self) -> Event:
+        connection = self._connection
+        if connection.parser.they_are_waiting_for_100_continue:
+            await connection.write(connection.encode(_CONTINUE_RESPONSE))
+        event = connection.reader.receive_now()
+        if event is not h11.NEED_DATA:
+            return event
+        async with asyncio.timeout(self._timeout):
+            return await connection.reader.receive()
--- a/packages/http/src/jacinthcroft_http/internal/request_loop.py
+++ b/packages/http/src/jacinthcroft_http/internal/request_loop.py
@@ -50,7 +50,7 @@
         """Creates the loop that serves a connection."""
         self._context = context
         self._connection = connection
-        self._body = RequestBody(connection)
+        self._body = RequestBody(connection, context.limits.body_timeout)
 
     async def run(self) -> None:
         """Serves requests; an error closes the connection only."""
--- a/packages/http/src/jacinthcroft_http/internal/server_connection.py
+++ b/packages/http/src/jacinthcroft_http/internal/server_connection.py
@@ -25,13 +25,15 @@
 class ServerLimits:
     """Limits of one connection: sizes in bytes and timeouts in seconds.
 
-    `head_timeout` runs from a head's first byte, `keep_alive_timeout` while
-    no request is in progress, and `write_timeout` while the caller does not
-    read the response.
+    `head_timeout` runs from a head's first byte, `body_timeout` while the
+    handler waits for more of a body, `keep_alive_timeout` while no request is
+    in progress, and `write_timeout` while the caller does not read the
+    response.
     """
 
     max_head_bytes: int = 16384
     head_timeout: float = 5.0
+    body_timeout: float = 15.0
     keep_alive_timeout: float = 60.0
     write_timeout: float = 30.0
 
--- a/packages/testkit/src/jacinthcroft_testkit/internal/vm_group.py
+++ b/packages/testkit/src/jacinthcroft_testkit/internal/vm_group.py
@@ -68,7 +68,10 @@
         vm = self.entries[name]
         folder = self._processes.folder
         secret = folder / 'secret'
-        secret.write_text(_SECRET)
+        # Written once: another VM that starts now would read a file that is
+        # being rewritten as empty.
+        if not secret.exists():
+            secret.write_text(_SECRET)
         settings = folder / f'{name}.toml'
         settings.write_text(
             write_settings(vm, self._platform, str(secret), self._tunables),
--- a/tests/cover/http/test_http_server.py
+++ b/tests/cover/http/test_http_server.py
@@ -37,6 +37,7 @@
 TOO_LONG_TEXT = b'a' * 17000
 SHORT_TIMEOUTS = ServerLimits(
     head_timeout=0.05,
+    body_timeout=0.05,
     keep_alive_timeout=0.05,
     write_timeout=0.05,
 )
@@ -134,6 +135,16 @@
         assert b'head-timeout' in await caller.read_all()
 
 
+@run_in_event_loop
+async def test_a_body_that_never_comes_is_refused_after_a_timeout() -> None:
+    async with (
+        running_server(limits=SHORT_TIMEOUTS) as fixture,
+        fixture.open_raw_connection() as caller,
+    ):
+        await caller.send(POST_HEAD_START + CHUNKED_HEAD_END + b'3\r\nab')
+        assert (await caller.read_all()).startswith(b'HTTP/1.1 400')
+
+
 @run_in_event_loop
 async def test_an_idle_connection_is_closed_without_a_response() -> None:
     async with (
