A response says something of a request only if it carries the request's id; downloads may repeat

Cause: the not-run header and 421 were taken before the echoed id was compared. A refusal that a target wrote once more on a kept connection, after the next request was sent, was taken for that request's: it was sent to a second target (TWICE) or its caller was told that it had not run (REFUSED).

Change: the pool skips a response that carries another request's id, reads on for the own one and does not use the connection again; a refusal without an id proves nothing. Interim responses are bounded. RouteType 'download' is repeatable like 'safe'.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/attempt.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/pipeline/attempt.py
@@ -196,8 +196,10 @@
         run: _Run,
     ) -> AttemptOutcome:
         headers = answer.headers
+        is_shed = answer.status == _UNAVAILABLE and headers.get('x-shed') == '1'
         answered_id = headers.get('x-request-id')
-        if answered_id is not None and answered_id != admitted.request_id:
+        is_anonymous = answered_id is None and not is_shed
+        if answered_id != admitted.request_id and not is_anonymous:
             answer.close()
             self._finish_after_run(run, RunOutcome.CROSSED)
             return AnswerLost(
@@ -205,7 +207,7 @@
                 RunOutcome.CROSSED,
                 "the answer's x-request-id is not that of the request",
             )
-        if answer.status == _UNAVAILABLE and headers.get('x-shed') == '1':
+        if is_shed:
             answer.close()
             self._finish(run, RunOutcome.SHED, answer)
             return AttemptNotRun('the target shed the request', is_shed=True)
--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/sender.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/sender.py
@@ -84,6 +84,7 @@
             body,
             self._header_names.time_left,
             grant.max_rest,
+            (self._header_names.request_id, admitted.request_id),
         )
         send_outcome = await self._pool.send(
             outgoing,
@@ -162,6 +163,16 @@
         seconds: float,
     ) -> SendResult:
         headers = response.headers
+        echoed = headers.get(self._header_names.request_id)
+        if echoed != admitted.request_id:
+            # A refusal that the target wrote for another request says nothing
+            # of this one, which may have run.
+            return SendResult(
+                Outcome.BROKEN,
+                seconds,
+                may_have_run=True,
+                detail=f'response is for another request ({echoed})',
+            )
         if response.status == _HTTP_MISDIRECTED_REQUEST:
             return SendResult(
                 Outcome.MISPLACED,
@@ -176,7 +187,7 @@
                 may_have_run=False,
                 detail=f'target did not run it (status {response.status})',
             )
-        fault = self._find_fault(admitted, response)
+        fault = self._find_fault(response)
         if fault is not None:
             return SendResult(
                 Outcome.BROKEN,
@@ -197,13 +208,8 @@
             ),
         )
 
-    def _find_fault(
-        self, admitted: AdmittedRequest, response: Answer
-    ) -> str | None:
+    def _find_fault(self, response: Answer) -> str | None:
         headers = response.headers
-        echoed = headers.get(self._header_names.request_id)
-        if echoed != admitted.request_id:
-            return f'response is for another request ({echoed})'
         if headers.get(self._header_names.signature) is None:
             return 'response has no signature'
         if headers.get('content-encoding') is not None:
--- a/packages/http/src/jacinthcroft_http/internal/client_connection.py
+++ b/packages/http/src/jacinthcroft_http/internal/client_connection.py
@@ -20,9 +20,10 @@
 class ClientConnection(BaseConnection):
     """A connection that carries one exchange at a time.
 
-    It is reused only if the response was read to its end and no bytes
-    followed. In all other cases it is closed, so that a late response cannot
-    be taken for the response to another request.
+    It is reused only if the response was read to its end and was neither
+    followed by bytes nor preceded by another request's response. In all other
+    cases it is closed, so that a late response cannot be taken for the
+    response to another request.
     """
 
     def __init__(
@@ -43,6 +44,7 @@
         self._timeout = Timeout()
         self._on_finished: Callable[[], None] | None = None
         self._is_abandoned = False
+        self._has_foreign_responses = False
 
     def data_received(self, data: bytes) -> None:
         """Buffers response bytes; closes if no request is outstanding."""
@@ -100,6 +102,21 @@
         self._on_finished = on_finished
         self._timeout.start(seconds, self._expire)
 
+    def expect_another_response(self, request: h11.Request) -> None:
+        """Expects a further response after one to another request.
+
+        The other side has written a response to an earlier request once more,
+        so the connection is not reused after this exchange.
+        """
+        self._has_foreign_responses = True
+        received, _ = self.parser.trailing_data
+        self.parser = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES
+        )
+        self.parser.send(request)
+        self.parser.send(h11.EndOfMessage())
+        self.reader.replace_parser(self.parser, received)
+
     def close_unsent(self) -> None:
         """Closes without calling `on_finished`, because nothing was sent."""
         self._on_finished = None
@@ -138,11 +155,12 @@
             self.close()
 
     def _is_reusable(self) -> bool:
+        if self._has_foreign_responses or self.reader.has_unread_bytes:
+            return False
         return (
             self.parser.our_state is h11.DONE
             and self.parser.their_state is h11.DONE
             and self.is_open
-            and not self.reader.has_unread_bytes
         )
 
     def _notify_finished(self) -> None:
--- a/packages/http/src/jacinthcroft_http/internal/event_reader.py
+++ b/packages/http/src/jacinthcroft_http/internal/event_reader.py
@@ -37,6 +37,13 @@
             self._parser.trailing_data[0]
         )
 
+    def replace_parser(self, parser: h11.Connection, received: bytes) -> None:
+        """Continues with another parser, which gets the `received` bytes."""
+        self._parser = parser
+        self._has_parser_input = bool(received)
+        if received:
+            parser.receive_data(received)
+
     def attach(self, transport: asyncio.Transport) -> None:
         """Sets the transport to pause while the buffer is full."""
         self._transport = transport
--- a/packages/http/src/jacinthcroft_http/internal/exchange.py
+++ b/packages/http/src/jacinthcroft_http/internal/exchange.py
@@ -18,6 +18,11 @@
 SendOutcome = Answer | NothingSent | Interrupted
 
 _METHODS_WITH_BODY: Final = frozenset(('POST', 'PUT', 'PATCH'))
+# More interim responses, or more responses to other requests, are no protocol.
+_MAX_INTERIM_RESPONSES: Final = 8
+_MAX_FOREIGN_RESPONSES: Final = 2
+# A response to another request that is longer is not read to its end.
+_MAX_FOREIGN_BYTES: Final = 1_048_576
 
 
 async def exchange(
@@ -71,19 +76,80 @@
     event: Event = h11.NEED_DATA
     if request.body is not None and not isinstance(request.body, bytes):
         event = await _send_chunks(connection, request.body)
-    while event is h11.NEED_DATA or _is_informational(event):
-        event = await connection.reader.receive()
-    if not isinstance(event, h11.Response):
-        connection.close()
-        return Interrupted('reset', 'closed without an answer')
-    headers = Headers.from_wire(event.headers.raw_items())
+    for _ in range(_MAX_FOREIGN_RESPONSES + 1):
+        event = await _receive_final_head(connection, event)
+        if not isinstance(event, h11.Response):
+            connection.close()
+            return Interrupted('reset', 'closed without an answer')
+        headers = Headers.from_wire(event.headers.raw_items())
+        if request.owns_response(headers):
+            return _make_answer(connection, request, event, headers)
+        if not await _skip_foreign_response(connection, request):
+            break
+        event = h11.NEED_DATA
+    connection.close()
+    return Interrupted('protocol', 'the response is for another request')
+
+
+def _make_answer(
+    connection: ClientConnection,
+    request: OutgoingRequest,
+    head: h11.Response,
+    headers: Headers,
+) -> Answer:
     connection.peer_idle_timeout = _parse_keep_alive_timeout(headers)
-    is_framed = _is_framed(request, event.status_code, headers)
-    answer = Answer(event.status_code, headers, is_framed, connection)
+    is_framed = _is_framed(request, head.status_code, headers)
+    answer = Answer(head.status_code, headers, is_framed, connection)
     answer.buffer_received_chunks()
     return answer
 
 
+async def _receive_final_head(
+    connection: ClientConnection, event: Event
+) -> Event:
+    """Returns the event after all interim (1xx) responses.
+
+    Raises:
+        h11.RemoteProtocolError: If the other side violates the protocol or
+            sends too many interim responses.
+    """
+    interim_count = 0
+    while event is h11.NEED_DATA or _is_informational(event):
+        event = await connection.reader.receive()
+        interim_count += _is_informational(event)
+        if interim_count > _MAX_INTERIM_RESPONSES:
+            raise h11.RemoteProtocolError('too many interim responses')
+    return event
+
+
+async def _skip_foreign_response(
+    connection: ClientConnection, request: OutgoingRequest
+) -> bool:
+    """Discards a response to another request whose head was received.
+
+    Returns:
+        Whether the response to `request` may still follow.
+    """
+    if connection.parser.our_state is not h11.DONE:
+        # The request is not sent completely, so the parser can't be replaced.
+        return False
+    size = 0
+    event = await connection.reader.receive()
+    while isinstance(event, h11.Data):
+        size += len(event.data)
+        if size > _MAX_FOREIGN_BYTES:
+            return False
+        event = await connection.reader.receive()
+    connection.expect_another_response(
+        h11.Request(
+            method=request.method,
+            target=request.target,
+            headers=[('host', request.host)],
+        )
+    )
+    return True
+
+
 async def _send_chunks(
     connection: ClientConnection,
     chunks: AsyncIterator[bytes],
--- a/packages/http/src/jacinthcroft_http/internal/messages.py
+++ b/packages/http/src/jacinthcroft_http/internal/messages.py
@@ -133,6 +133,8 @@
     headers contain a Content-Length. `time_left_header` is the name of a
     header that gives the other side its remaining milliseconds. `max_rest`
     is the maximum idle time, in seconds, of a connection that is reused.
+    `echoed_header` is the name and value of a header that the other side
+    echoes: a response with another value belongs to another request.
     """
 
     host: str
@@ -143,6 +145,17 @@
     body: bytes | AsyncIterator[bytes] | None = None
     time_left_header: str | None = None
     max_rest: float | None = None
+    echoed_header: tuple[str, str] | None = None
+
+    def owns_response(self, headers: Headers) -> bool:
+        """Whether a response may belong to this request.
+
+        A response without the echoed header may, since it names no other.
+        """
+        if self.echoed_header is None:
+            return True
+        name, expected = self.echoed_header
+        return headers.get(name) in {None, expected}
 
     def with_time_left(self, seconds: float) -> 'OutgoingRequest':
         """Returns the request with its remaining time as a header.
--- a/packages/http/src/jacinthcroft_http/internal/request_body.py
+++ b/packages/http/src/jacinthcroft_http/internal/request_body.py
@@ -45,19 +45,10 @@
             BodyCut: If the caller violates the protocol, disconnects or stops
                 sending.
         """
-        if self.is_ended:
-            raise StopAsyncIteration
-        try:
+        if not self.is_ended:
             event = await self._next_event()
-        except TimeoutError as error:
-            detail = f'no bytes of the body for {self._timeout} s'
-            raise BodyCut(Interrupted('timeout', detail)) from error
-        except h11.RemoteProtocolError as error:
-            raise BodyCut(Interrupted('protocol', str(error))) from error
-        except OSError as error:
-            raise BodyCut(Interrupted('reset', str(error))) from error
-        if isinstance(event, h11.Data):
-            return bytes(event.data)
+            if isinstance(event, h11.Data):
+                return bytes(event.data)
         raise StopAsyncIteration
 
     def discard_received(self) -> None:
@@ -71,6 +62,17 @@
                 return
 
     async def _next_event(self) -> Event:
+        try:
+            return await self._receive()
+        except h11.RemoteProtocolError as error:
+            raise BodyCut(Interrupted('protocol', str(error))) from error
+        except TimeoutError as error:
+            detail = f'no bytes of the body for {self._timeout} s'
+            raise BodyCut(Interrupted('timeout', detail)) from error
+        except OSError as error:
+            raise BodyCut(Interrupted('reset', str(error))) from error
+
+    async def _receive(self) -> Event:
         connection = self._connection
         if connection.parser.they_are_waiting_for_100_continue:
             await connection.write(connection.encode(_CONTINUE_RESPONSE))
--- a/tests/cover/http/test_http_server.py
+++ b/tests/cover/http/test_http_server.py
@@ -141,7 +141,7 @@
         running_server(limits=SHORT_TIMEOUTS) as fixture,
         fixture.open_raw_connection() as caller,
     ):
-        await caller.send(POST_HEAD_START + CHUNKED_HEAD_END + b'3\r\nab')
+        await caller.send(join(POST_HEAD_START, CHUNKED_HEAD_END, b'3\r\nab'))
         assert (await caller.read_all()).startswith(b'HTTP/1.1 400')
 
 
--- a/tests/cover/platform/test_decoding.py
+++ b/tests/cover/platform/test_decoding.py
@@ -75,6 +75,14 @@
     assert not route.is_repeatable
 
 
+@pytest.mark.parametrize('kind', ['safe', 'download'])
+def test_reads_may_run_twice(kind: str) -> None:
+    content = json.dumps(_configuration(RouteType=kind)).encode()
+    route = decode_configuration(content).find_route('h.example', '/p/')
+    assert route is not None
+    assert route.is_repeatable
+
+
 def test_the_route_with_the_longest_matching_prefix_is_found() -> None:
     document = _configuration()
     longer = json.loads(json.dumps(document['Resources'][0]))
--- a/tests/cover/seeded/seeded_fleet.py
+++ b/tests/cover/seeded/seeded_fleet.py
@@ -64,16 +64,17 @@
     async def _answer(self, request: IncomingRequest) -> Response:
         self.seen.append(request)
         headers = request.headers
+        request_id = headers.get('x-attempt-id') or ''
+        echo = ('x-attempt-id', request_id)
         if headers.get('x-expect-instance') != self.target_id:
-            return Response(421)
+            return Response(421, [echo])
         is_kept = request.remote in self.connections
         self.connections.add(request.remote)
         if self.behaviour == 'forget' and is_kept:
             # Closes the connection without a response.
             raise asyncio.CancelledError
         if self.behaviour == 'shed':
-            return Response(503, [('x-not-executed', '1')])
-        request_id = headers.get('x-attempt-id') or ''
+            return Response(503, [echo, ('x-not-executed', '1')])
         self.runs.append(request_id)
         if self.behaviour == 'hang':
             await asyncio.sleep(10)
--- a/tests/cover/testkit/test_links.py
+++ b/tests/cover/testkit/test_links.py
@@ -42,9 +42,13 @@
         yield table, await table.add('vm1>t1', Address(host, port))
     finally:
         server.close()
-        await table.close()
-        while _opened:
-            reset(_opened.pop())
+        await _close_all(table)
+
+
+async def _close_all(table: LinkTable) -> None:
+    await table.close()
+    while _opened:
+        reset(_opened.pop())
 
 
 def _run(scenario: Scenario) -> None:
