Every VM hears of a new configuration from two sources besides its leader

Change: the leader and two deputies, its best successors, watch the platform; every VM polls the leader and, in turn, a deputy; a VM whose copy is older than 1.3 s reads the platform itself, with longer pauses after failures. One fetch a host, so that a silent one delays no other. A reader starts with changes after its copy's version instead of all items.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/fleet_poller.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/fleet_poller.py
@@ -59,6 +59,8 @@
 HELPER_COUNT: Final = 2
 HELPER_INTERVAL_SECONDS: Final = 0.8
 COPY_PATH: Final = '/copy'
+# Logged in place of the infinite age of a copy that was never confirmed.
+MAX_LOGGED_AGE: Final = 1e6
 _MILLIS: Final = 1000
 
 
@@ -75,7 +77,8 @@
     _poll_times: dict[int, float] = field(factory=dict)
     _nonce: int = 0
     _copy_timeout: float = COPY_TIMEOUT_SECONDS
-    _fetch_task: asyncio.Task[None] | None = None
+    _fetch_tasks: dict[str, asyncio.Task[None]] = field(factory=dict)
+    _was_reading: bool = False
     _logged_role: tuple[Role, str | None] = (Role.SEEKING, None)
     _acknowledged_by: str | None = None
     _helpers: tuple[str, ...] = ()
@@ -118,12 +121,27 @@
         for host in leadership.tick(at):
             self._poll(host, wants_reader=False)
         self._handle_role_change()
+        self._wake_reader()
         if self._copy.tick():
             self.decision_server.apply_documents()
         self.decision_server.tick()
         if leadership.is_leading:
             self._poll_helpers(at)
 
+    def _wake_reader(self) -> None:
+        is_reading = self.reader.is_reading
+        if is_reading == self._was_reading:
+            return
+        self._was_reading = is_reading
+        log_event(
+            'info',
+            'reader',
+            is_reading=is_reading,
+            is_appointed=self._leadership.sources.is_appointed,
+            age=round(min(self._copy.state.age(now()), MAX_LOGGED_AGE), 3),
+        )
+        self.reader.wake()
+
     def _handle_role_change(self) -> None:
         leadership = self._leadership
         role = (leadership.role, leadership.leader)
@@ -137,7 +155,6 @@
             leader=leadership.leader or 'none',
             followers=leadership.followers.count,
         )
-        self.reader.wake()
         if leadership.leader is not None:
             self.decision_server.client.resend_pending()
 
@@ -265,9 +282,14 @@
             self._copy.mark_confirmed(polled_at - reply.state_age)
 
     def _start_fetch(self, host: str) -> None:
-        if self._fetch_task is None or self._fetch_task.done():
-            loop = asyncio.get_running_loop()
-            self._fetch_task = loop.create_task(self._fetch_copy(host))
+        # One fetch a host: a fetch of a VM that has gone silent must not delay
+        # that of another VM.
+        if host in self._fetch_tasks:
+            return
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(self._fetch_copy(host))
+        self._fetch_tasks[host] = task
+        task.add_done_callback(lambda _: self._fetch_tasks.pop(host, None))
 
     async def _fetch_copy(self, host: str) -> None:
         version = self._copy.state.version
--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/reader.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/reader.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from attrs import define, field
-from jacinthcroft_decisions.membership import Changes
+from jacinthcroft_decisions.membership import Changes, Leadership
 from jacinthcroft_http import now
 
 from jacinthcroft_daemon.internal.seeded.deployment import (
@@ -27,6 +27,9 @@
 # Delay after a failed call; doubled for each further one up to the maximum.
 RETRY_DELAY_SECONDS: Final = 0.2
 MAX_RETRY_DELAY_SECONDS: Final = 1.6
+# The delays of a VM that reads for itself are longer by this factor: while the
+# platform is away, all VMs do.
+OWN_RETRY_FACTOR: Final = 4.0
 # How long this VM reads after another VM last asked it to.
 ON_BEHALF_SECONDS: Final = 2.5
 
@@ -35,26 +38,47 @@
 class PlatformReader:
     """Updates the copy from the platform while this VM is a reader.
 
-    A VM is a reader while it leads the fleet or another VM has asked it to.
-    `_revision` is the platform's revision of the last response, 0 if all items
-    have to be read.
+    A VM is a reader while its membership says so or another VM has asked it to.
+    `_revision` is the platform's revision of the last response.
+    `_must_read_all` is set if changes after the copy's version do not suffice.
     """
 
     _store: Store
     _copy: DocumentsCopy
-    _is_leading: Callable[[], bool]
+    _leadership: Leadership
     _on_change: Callable[[], None]
     _metrics: VmMetrics
     _revision: int = 0
+    _must_read_all: bool = False
     _failures: int = 0
     _on_behalf_until: float = 0
     _wake_event: asyncio.Event = field(factory=asyncio.Event)
 
+    @property
+    def is_reading(self) -> bool:
+        """Whether this VM reads now, for others or for itself."""
+        at = now()
+        return (
+            self._reads_for_others
+            or self._leadership.sources.reads_platform(
+                self._copy.state.age(at), at
+            )
+        )
+
     @property
     def is_failing(self) -> bool:
         """Whether the last call to the platform failed."""
         return self._failures > 0
 
+    @property
+    def _reads_for_others(self) -> bool:
+        leadership = self._leadership
+        return (
+            leadership.is_leading
+            or leadership.sources.is_appointed
+            or now() <= self._on_behalf_until
+        )
+
     def read_on_behalf(self) -> None:
         """Reads for `ON_BEHALF_SECONDS` because another VM gets no response."""
         if now() > self._on_behalf_until:
@@ -69,7 +93,7 @@
     async def run(self) -> None:
         """Reads while this VM is a reader, until cancelled."""
         while True:
-            if not self._is_leading() and now() > self._on_behalf_until:
+            if not self.is_reading:
                 self._failures = 0
                 self._wake_event.clear()
                 await self._wake_event.wait()
@@ -80,13 +104,14 @@
 
     async def _read_once(self) -> float:
         started_at = now()
-        if self._revision:
+        # A copy that came from another VM is complete up to its version.
+        revision = max(self._revision, self._copy.state.version)
+        if self._must_read_all or not revision:
+            outcome = await self._store.read_all()
+        else:
             outcome = await self._store.wait_for_changes(
-                max(self._revision, self._copy.state.version),
-                WATCH_TIMEOUT_SECONDS,
+                revision, WATCH_TIMEOUT_SECONDS
             )
-        else:
-            outcome = await self._store.read_all()
         is_failure = isinstance(outcome, ReadFailure)
         label = 'failed' if is_failure else 'answered'
         self._metrics.count(Count.PLATFORM_READS, label)
@@ -100,7 +125,7 @@
     def _record_failure(self, failure: ReadFailure) -> float:
         if failure.has_forgotten:
             log_event('info', 'platform-history-gone', at=self._revision)
-            self._revision = 0
+            self._must_read_all = True
             return 0
         if not self._failures:
             log_event(
@@ -111,7 +136,8 @@
             )
         self._failures += 1
         delay = RETRY_DELAY_SECONDS * float(2 ** min(self._failures - 1, 8))
-        return min(MAX_RETRY_DELAY_SECONDS, delay)
+        delay = min(MAX_RETRY_DELAY_SECONDS, delay)
+        return delay if self._reads_for_others else delay * OWN_RETRY_FACTOR
 
     def _apply_result(self, result: ReadResult, started_at: float) -> float:
         is_empty = not result.items and not result.is_whole
@@ -128,6 +154,8 @@
         else:
             self._copy.mark_confirmed(started_at)
         self._revision = max(self._revision, result.at)
+        if result.is_whole:
+            self._must_read_all = False
         if has_changed:
             self._on_change()
         return 0 if is_empty else SETTLE_DELAY_SECONDS
--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/vm.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/vm.py
@@ -306,7 +306,7 @@
     reader = PlatformReader(
         deployment.store,
         decision_server.documents,
-        lambda: leadership.is_leading,
+        leadership,
         decision_server.apply_documents,
         decision_server.metrics,
     )
--- a/packages/decisions/src/jacinthcroft_decisions/internal/membership/followers.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/membership/followers.py
@@ -35,6 +35,7 @@
     _reported_at: float = -math.inf
     _next_index_by_polling_host: dict[str, int] = field(factory=dict)
     _started_at: float | None = None
+    _best_successors: tuple[str, ...] | None = None
 
     @property
     def count(self) -> int:
@@ -63,6 +64,8 @@
         known = self._peers.get(peer.host)
         if known is not None and known.incarnation != peer.incarnation:
             self._departed_hosts.append(peer.host)
+        if known != peer:
+            self._best_successors = None
         self._peers[peer.host] = peer
         self._polled_at[peer.host] = now
         self._last_seen_at[peer.host] = now
@@ -70,6 +73,7 @@
     def remove(self, host: str) -> None:
         """Removes a VM that no longer follows this one."""
         if self._peers.pop(host, None) is not None:
+            self._best_successors = None
             self._polled_at.pop(host)
             self._next_index_by_polling_host.pop(host, None)
             self._departed_hosts.append(host)
@@ -95,12 +99,9 @@
         The best-ranked follower of each zone comes before all others, so that
         the loss of one zone leaves a successor.
         """
-        ranked = sorted(self._peers.values(), key=lambda peer: peer.rank)
-        best_by_zone: dict[str, Peer] = {}
-        for follower in ranked:
-            best_by_zone.setdefault(follower.zone, follower)
-        chosen = dict.fromkeys((*best_by_zone.values(), *ranked))
-        return tuple(peer.host for peer in chosen)[:MAX_SUCCESSORS]
+        if self._best_successors is None:
+            self._best_successors = self._rank_successors()
+        return self._best_successors
 
     def next_hosts_for(self, polling_host: str) -> tuple[str, ...]:
         """Returns the hosts of some followers, to be named to a polling VM.
@@ -149,3 +150,11 @@
         """Returns the share of the fleet that takes this VM's decisions."""
         size = self.estimate_fleet_size(now)
         return min(1, (self.count + 1) / size)
+
+    def _rank_successors(self) -> tuple[str, ...]:
+        ranked = sorted(self._peers.values(), key=lambda peer: peer.rank)
+        best_by_zone: dict[str, Peer] = {}
+        for follower in ranked:
+            best_by_zone.setdefault(follower.zone, follower)
+        chosen = dict.fromkeys((*best_by_zone.values(), *ranked))
+        return tuple(peer.host for peer in chosen)[:MAX_SUCCESSORS]
--- a/packages/decisions/src/jacinthcroft_decisions/internal/membership/leadership.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/membership/leadership.py
@@ -22,6 +22,7 @@
     Poll,
     PollReply,
 )
+from jacinthcroft_decisions.internal.membership.sources import Sources
 
 # Between polls of the leader. Followers learn from its replies of a new
 # configuration, which has to arrive well within two seconds.
@@ -84,6 +85,7 @@
     role: Role = Role.SEEKING
     leader: str | None = None
     followers: Followers = field(factory=Followers)
+    sources: Sources = field(factory=Sources)
     is_leaving: bool = False
     _successors: tuple[str, ...] = ()
     _known_hosts: KnownHosts = field(factory=KnownHosts)
@@ -129,9 +131,13 @@
             self._check_leader(now)
         if self.role is Role.SEEKING:
             self._lead_if_due(now)
+        if self.is_leading:
+            self.sources.lead(self.followers.best_successors())
+        deputies = self.sources.hosts_to_poll(now)
         if now < self._next_poll_at:
-            return ()
-        return self._hosts_to_poll(now)
+            return deputies
+        hosts = self._hosts_to_poll(now)
+        return tuple(dict.fromkeys((*hosts, *deputies)))
 
     def suspect_leader(self, now: float) -> None:
         """Seeks another leader because the present one's decisions are missing.
@@ -221,6 +227,7 @@
                 for host in reply.successors
                 if host != self.local_peer.host
             )
+            self.sources.follow(reply.successors, self.local_peer.host)
             if is_sender_following:
                 self._known_hosts.add(str(reply.leader))
             return
--- a/packages/decisions/src/jacinthcroft_decisions/membership.py
+++ b/packages/decisions/src/jacinthcroft_decisions/membership.py
@@ -19,8 +19,10 @@
     Item,
     PublishedState,
 )
+from jacinthcroft_decisions.internal.membership.sources import DEPUTY_COUNT
 
 __all__ = (
+    'DEPUTY_COUNT',
     'Changes',
     'Item',
     'Leadership',
--- a/tests/cover/seeded/seeded_fleet.py
+++ b/tests/cover/seeded/seeded_fleet.py
@@ -231,6 +231,15 @@
         await answer.read(1_000_000)
         return answer.status
 
+    async def read(self, host: str, port: int, target: str) -> str:
+        """Returns the body of a response."""
+        request = OutgoingRequest(host, port, 'GET', target)
+        answer = await self._pool.send(request, 1)
+        assert isinstance(answer, Answer), answer
+        body = await answer.read(1_000_000)
+        assert isinstance(body, bytes)
+        return body.decode()
+
     async def call(
         self,
         host: str,
