--- a/packages/decisions/src/jacinthcroft_decisions/internal/membership/sources.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/membership/sources.py
@@ -11,7 +11,7 @@
 from attrs import define
 
 # How many followers read the platform beside their leader.
-DEPUTY_COUNT: Final = 2
+DEPUTY_COUNT: Final = 1
 # Between polls of deputies. Each deputy is polled in turn.
 DEPUTY_POLL_INTERVAL_SECONDS: Final = 0.4
 # A VM reads the platform itself once its copy is older than this. A copy that
