Run pipelined repeatable requests side by side and answer them in order

Requests that a caller sends before it has the response to the one before waited for it, so that a lube-chart (objective 150 ms) stood behind a gate-lookup of 180 ms.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/admission.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/admission.py
@@ -89,6 +89,14 @@
         """Returns the id that the caller gave a request, or an empty text."""
         return request.headers.get(self._header_names.request_id) or ''
 
+    def is_repeatable(self, request: IncomingRequest) -> bool:
+        """Whether a request has a route whose requests may run twice."""
+        configuration = self._copy.configuration
+        if configuration is None:
+            return False
+        route = self._find_route(configuration, request)
+        return isinstance(route, Route) and route.is_repeatable
+
     def admit(self, request: IncomingRequest) -> AdmittedRequest | Refusal:
         """Returns the admitted request, or why it is refused."""
         configuration = self._copy.configuration
--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/request_handler.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/request_handler.py
@@ -119,6 +119,14 @@
     _host: str
     _metrics: VmMetrics
 
+    def may_start_early(self, request: IncomingRequest) -> bool:
+        """Whether a pipelined request may run before its turn.
+
+        One behind a response that closes the connection is sent again, so only
+        a repeatable request may.
+        """
+        return self._admission.is_repeatable(request)
+
     async def serve(self, request: IncomingRequest) -> Response:
         """Returns the response for the caller."""
         admitted = self._admission.admit(request)
--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/vm.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/vm.py
@@ -235,7 +235,12 @@
             keep_alive_timeout=CALLER_IDLE_TIMEOUT_SECONDS,
         )
         for name, handler, host, port in listeners:
-            server = Server.from_limits(limits, handler, _refuse_unreadable)
+            server = Server.from_limits(
+                limits,
+                handler,
+                _refuse_unreadable,
+                self._request_handler.may_start_early,
+            )
             await server.start(host, port)
             self._servers[name] = server
         log_event(
--- a/packages/http/src/jacinthcroft_http/internal/base_connection.py
+++ b/packages/http/src/jacinthcroft_http/internal/base_connection.py
@@ -17,10 +17,9 @@
 
     def __init__(self, role: type[Any], max_head_bytes: int) -> None:
         """Creates the parser for `role`: h11.CLIENT or h11.SERVER."""
-        self.parser = h11.Connection(
-            role,
-            max_incomplete_event_size=max_head_bytes,
-        )
+        self._role = role
+        self._max_head_bytes = max_head_bytes
+        self.parser = self.make_parser()
         self.reader = EventReader(self.parser)
         self._transport: asyncio.Transport | None = None
         self._poll = select.poll()
@@ -51,6 +50,12 @@
         """
         return not self._poll.poll(0)
 
+    def make_parser(self) -> h11.Connection:
+        """Returns a new parser for this side of the connection."""
+        return h11.Connection(
+            self._role, max_incomplete_event_size=self._max_head_bytes
+        )
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Sets the transport and its buffer limit."""
         self._transport = cast(asyncio.Transport, transport)
--- a/packages/http/src/jacinthcroft_http/internal/client_connection.py
+++ b/packages/http/src/jacinthcroft_http/internal/client_connection.py
@@ -110,9 +110,7 @@
         """
         self._has_foreign_responses = True
         received, _ = self.parser.trailing_data
-        self.parser = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES
-        )
+        self.parser = self.make_parser()
         self.parser.send(request)
         self.parser.send(h11.EndOfMessage())
         self.reader.replace_parser(self.parser, received)
--- a/packages/http/src/jacinthcroft_http/internal/server.py
+++ b/packages/http/src/jacinthcroft_http/internal/server.py
@@ -4,8 +4,10 @@
 from typing import Final, Self
 
 from jacinthcroft_http.internal.connection_set import ConnectionSet
+from jacinthcroft_http.internal.messages import IncomingRequest
 from jacinthcroft_http.internal.request_loop import (
     BadRequestAnswer,
+    EarlyStart,
     Handler,
     RequestLoop,
     ServerContext,
@@ -26,6 +28,10 @@
 NEW_CONNECTION_GRACE_SECONDS: Final = 0.5
 
 
+def _start_in_turn(_: IncomingRequest) -> bool:
+    return False
+
+
 class Server:
     """An HTTP server on one port."""
 
@@ -34,6 +40,7 @@
         limits: ServerLimits,
         handler: Handler,
         on_bad_request: BadRequestAnswer,
+        may_start_early: EarlyStart,
     ) -> None:
         """Creates a server; `start` opens its port."""
         self._context = ServerContext(
@@ -41,6 +48,7 @@
             handler,
             on_bad_request,
             lambda: self._is_keep_alive_stopped,
+            may_start_early,
         )
         self._connections = ConnectionSet(limits)
         self._listener: asyncio.Server | None = None
@@ -52,13 +60,16 @@
         limits: ServerLimits,
         handler: Handler,
         on_bad_request: BadRequestAnswer,
+        may_start_early: EarlyStart = _start_in_turn,
     ) -> Self:
         """Creates a server that passes each request to `handler`.
 
         `on_bad_request` makes the response to a malformed request; the
-        connection is closed after that response.
+        connection is closed after that response. `may_start_early` selects the
+        pipelined requests that run beside the one before them; without it,
+        none does.
         """
-        return cls(limits, handler, on_bad_request)
+        return cls(limits, handler, on_bad_request, may_start_early)
 
     @property
     def running(self) -> int:
--- a/packages/http/src/jacinthcroft_http/internal/server_connection.py
+++ b/packages/http/src/jacinthcroft_http/internal/server_connection.py
@@ -82,6 +82,7 @@
         self.remote = ''
         self.response_count = 0
         self.on_disconnect: Callable[[], object] | None = None
+        self.on_early_bytes: Callable[[], object] | None = None
         self._limits = limits
         self._serve = serve
         self._registry = registry
@@ -114,6 +115,8 @@
         self.reader.add_received(data)
         if self.phase is Phase.IDLE:
             self.start_waiting_for_head()
+        elif self.phase is Phase.REQUEST and self.on_early_bytes is not None:
+            self.on_early_bytes()
 
     def eof_received(self) -> bool:
         """Cancels the handler: an end of stream counts as a disconnect."""
--- a/tests/cover/http/http_support.py
+++ b/tests/cover/http/http_support.py
@@ -117,7 +117,9 @@
     limits: ServerLimits | None = None,
 ) -> AsyncIterator[ServerAndPool]:
     """Starts a server and a pool; closes both at the end."""
-    server = Server.from_limits(limits or ServerLimits(), handler, reject)
+    server = Server.from_limits(
+        limits or ServerLimits(), handler, reject, lambda _: True
+    )
     port = await server.start(HOST, 0)
     pool = ConnectionPool.from_limits(PoolLimits())
     try:
