Cut off responses of tiny chunks; share the loop while many chunks arrive

A target that sends one-byte chunks without end kept its reader in one turn of the event loop for as long as bytes were there: the attempt of 1 s ended after 2.44 s and nothing else ran meanwhile (test on the code before, one run). The loop turns to other connections after 256 chunks; more than 4,096 chunks of which the mean is under 64 bytes are broken off.

--- a/packages/http/src/jacinthcroft_http/internal/answer.py
+++ b/packages/http/src/jacinthcroft_http/internal/answer.py
@@ -1,8 +1,9 @@
 """A response that the connection pool has received."""
 
+import asyncio
 from collections import deque
 from collections.abc import AsyncIterator
-from typing import Literal
+from typing import Final, Literal
 
 import h11
 from attrs import define, field
@@ -17,6 +18,13 @@
     Interrupted,
 )
 
+# Chunks that are parsed without a pause for other connections.
+_CHUNKS_PER_TURN: Final = 256
+# A response of more chunks than this, of which the mean is tiny, is cut off:
+# parsing a chunk costs the same for any size.
+_MAX_TINY_CHUNKS: Final = 4096
+_TINY_CHUNK_BYTES: Final = 64
+
 
 def classify_interruption(error: Exception) -> Interrupted:
     """Returns the reason why a connection failed during an exchange."""
@@ -43,6 +51,8 @@
     _connection: ClientConnection
     _chunks: deque[bytes] = field(factory=deque, init=False)
     _is_ended: bool = field(default=False, init=False)
+    _chunk_count: int = field(default=0, init=False)
+    _received_bytes: int = field(default=0, init=False)
 
     @property
     def is_complete(self) -> bool:
@@ -104,6 +114,8 @@
         """Buffers the part of the body that has arrived, without waiting."""
         event: Event = h11.PAUSED
         while not self._is_ended and event is not h11.NEED_DATA:
+            if self._chunk_count >= _CHUNKS_PER_TURN:
+                return
             try:
                 event = self._connection.reader.receive_now()
             except (h11.RemoteProtocolError, OSError):
@@ -113,7 +125,10 @@
                 self._handle_event(event)
 
     async def _receive(self) -> Event:
+        if self._chunk_count and self._chunk_count % _CHUNKS_PER_TURN == 0:
+            await asyncio.sleep(0)
         try:
+            self._require_sizable_chunks()
             return await self._connection.reader.receive()
         except (OSError, h11.RemoteProtocolError) as error:
             self.close()
@@ -123,8 +138,15 @@
             self.close()
             raise
 
+    def _require_sizable_chunks(self) -> None:
+        is_tiny = self._received_bytes < self._chunk_count * _TINY_CHUNK_BYTES
+        if is_tiny and self._chunk_count > _MAX_TINY_CHUNKS:
+            raise h11.RemoteProtocolError('the body has too many tiny chunks')
+
     def _handle_event(self, event: Event) -> None:
         if isinstance(event, h11.Data):
+            self._chunk_count += 1
+            self._received_bytes += len(event.data)
             self._chunks.append(bytes(event.data))
         else:
             self._is_ended = True
