Bound the memory of large responses; write them in pieces

Cause: a response is held whole until its caller has received it, up to 4 MiB each, and a caller that reads slowly held two to three copies of it (42 MB beside a body of 16 MiB in the test on the code before). A few dozen such callers, or targets that send megabytes, end the process of a VM of 200 MB.

One that finds no room before its deadline is given up without blame on its target, and its caller is told that it may have run. Bodies are written in pieces of 64 KiB.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/deployment.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/deployment.py
@@ -1,13 +1,15 @@
 """What a platform's adapter provides to run a VM on that platform."""
 
 from collections.abc import Mapping
-from typing import Protocol
+from typing import Final, Protocol
 
 from attrs import field, frozen
 from jacinthcroft_config import Address
 from jacinthcroft_decisions.dispatch import DispatchLimits, FleetDocuments
 from jacinthcroft_decisions.membership import Item
 
+DEFAULT_RESPONSE_BUFFER_BYTES: Final = 67_108_864
+
 
 @frozen
 class SeededSettings:
@@ -18,7 +20,8 @@
     much deciding for other VMs this VM can afford, relative to other VMs.
     `grace_seconds` is the time from the stop signal to the end of the process.
     With `fails_closed`, requests with API keys are refused while withdrawals
-    of keys may be unknown.
+    of keys may be unknown. `response_buffer_bytes` limits what large responses
+    occupy in memory until their callers have received them.
     """
 
     name: str
@@ -34,6 +37,7 @@
     dispatch_limits: DispatchLimits
     store: Address
     fails_closed: bool = True
+    response_buffer_bytes: int = DEFAULT_RESPONSE_BUFFER_BYTES
 
 
 @frozen
--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/sender.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/sender.py
@@ -11,11 +11,13 @@
 )
 from jacinthcroft_http import (
     Answer,
-    BodyCut,
+    BodyTooLarge,
+    BufferBudget,
     ConnectionPool,
     Headers,
     IncomingRequest,
     Interrupted,
+    NoBufferRoom,
     NothingSent,
     OutgoingRequest,
     Response,
@@ -65,6 +67,7 @@
     _pool: ConnectionPool
     _header_names: HeaderNames
     _admission: Admission
+    _budget: BufferBudget
 
     async def send(
         self,
@@ -139,19 +142,41 @@
         response: Answer,
         started_at: float,
     ) -> SendResult:
+        reservation = self._budget.reserve(admitted.expires)
         try:
-            body = await response.read(MAX_RESPONSE_BYTES)
-        except BodyCut as cut:
-            return _classify_interrupted(cut.cause, now() - started_at)
-        seconds = now() - started_at
+            body = await response.read_within(MAX_RESPONSE_BYTES, reservation)
+            result = self._classify_body(
+                admitted, response, body, now() - started_at
+            )
+            if result.response is not None:
+                reservation.release_with(result.response)
+        finally:
+            reservation.release()
+        return result
+
+    def _classify_body(
+        self,
+        admitted: AdmittedRequest,
+        response: Answer,
+        body: bytes | BodyTooLarge | NoBufferRoom | Interrupted,
+        seconds: float,
+    ) -> SendResult:
         if isinstance(body, Interrupted):
             return _classify_interrupted(body, seconds)
-        if not isinstance(body, bytes):
+        if isinstance(body, NoBufferRoom):
+            # The target is not at fault.
+            return SendResult(
+                Outcome.ABANDONED,
+                seconds,
+                may_have_run=True,
+                detail='no room to hold the response',
+            )
+        if isinstance(body, BodyTooLarge):
             return SendResult(
                 Outcome.BROKEN,
                 seconds,
                 may_have_run=True,
-                detail=f'response is larger than {MAX_RESPONSE_BYTES} bytes',
+                detail=f'response is larger than {body.limit} bytes',
             )
         return self._classify_response(admitted, response, body, seconds)
 
--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/vm.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/vm.py
@@ -11,6 +11,7 @@
 from jacinthcroft_decisions.membership import Leadership, Peer
 from jacinthcroft_http import (
     BadRequest,
+    BufferBudget,
     ConnectionPool,
     IncomingRequest,
     PoolLimits,
@@ -138,7 +139,12 @@
             RequestHandler(
                 admission,
                 decision_server.client,
-                Sender(pools[1], deployment.header_names, admission),
+                Sender(
+                    pools[1],
+                    deployment.header_names,
+                    admission,
+                    BufferBudget.from_limit(settings.response_buffer_bytes),
+                ),
                 settings.host,
                 metrics,
             ),
--- a/packages/daemon/src/jacinthcroft_daemon/seeded.py
+++ b/packages/daemon/src/jacinthcroft_daemon/seeded.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from jacinthcroft_daemon.internal.seeded.deployment import (
+    DEFAULT_RESPONSE_BUFFER_BYTES,
     Deployment,
     HeaderNames,
     ReadFailure,
@@ -24,6 +25,7 @@
 from jacinthcroft_daemon.internal.telemetry.stdout_lines import log_to_stdout
 
 __all__ = (
+    'DEFAULT_RESPONSE_BUFFER_BYTES',
     'Deployment',
     'HeaderNames',
     'ReadFailure',
--- a/packages/http/src/jacinthcroft_http/__init__.py
+++ b/packages/http/src/jacinthcroft_http/__init__.py
@@ -7,6 +7,11 @@
 """
 
 from jacinthcroft_http.internal.answer import Answer
+from jacinthcroft_http.internal.buffer_budget import (
+    FREE_BODY_BYTES,
+    BodyReservation,
+    BufferBudget,
+)
 from jacinthcroft_http.internal.clock import now
 from jacinthcroft_http.internal.exchange import SendOutcome
 from jacinthcroft_http.internal.headers import (
@@ -26,6 +31,7 @@
     BodyTooLarge,
     Interrupted,
     InterruptedReason,
+    NoBufferRoom,
     NothingSent,
     NothingSentReason,
 )
@@ -38,12 +44,15 @@
 from jacinthcroft_http.internal.server_connection import ServerLimits
 
 __all__ = (
+    'FREE_BODY_BYTES',
     'Answer',
     'BadRequest',
     'BadRequestAnswer',
     'BadRequestReason',
     'BodyCut',
+    'BodyReservation',
     'BodyTooLarge',
+    'BufferBudget',
     'ConnectionPool',
     'Handler',
     'Header',
@@ -51,6 +60,7 @@
     'IncomingRequest',
     'Interrupted',
     'InterruptedReason',
+    'NoBufferRoom',
     'NothingSent',
     'NothingSentReason',
     'OutgoingRequest',
--- a/packages/http/src/jacinthcroft_http/internal/answer.py
+++ b/packages/http/src/jacinthcroft_http/internal/answer.py
@@ -8,6 +8,7 @@
 import h11
 from attrs import define, field
 
+from jacinthcroft_http.internal.buffer_budget import BodyReservation
 from jacinthcroft_http.internal.client_connection import ClientConnection
 from jacinthcroft_http.internal.event_reader import Event
 from jacinthcroft_http.internal.headers import Headers
@@ -16,6 +17,7 @@
     BodyCut,
     BodyTooLarge,
     Interrupted,
+    NoBufferRoom,
 )
 
 # Chunks that are parsed without a pause for other connections.
@@ -103,6 +105,26 @@
             self.close()
         return body
 
+    async def read_within(
+        self, limit: int, reservation: BodyReservation
+    ) -> bytes | BodyTooLarge | NoBufferRoom | Interrupted:
+        """Reads the whole body while the buffer budget has room for it."""
+        received: list[bytes] = []
+        size = 0
+        try:
+            async for chunk in self:
+                size += len(chunk)
+                received.append(chunk)
+                if size > limit:
+                    self.close()
+                    return BodyTooLarge(limit)
+                if not await reservation.grow(len(chunk)):
+                    self.close()
+                    return NoBufferRoom()
+        except BodyCut as error:
+            return error.cause
+        return b''.join(received)
+
     def close(self) -> None:
         """Discards the body; abandons the exchange if it is incomplete."""
         self._chunks.clear()
--- a/packages/http/src/jacinthcroft_http/internal/outcomes.py
+++ b/packages/http/src/jacinthcroft_http/internal/outcomes.py
@@ -31,6 +31,11 @@
     limit: int
 
 
+@dataclass(frozen=True)
+class NoBufferRoom:
+    """A body that was not read, because others used up the buffer budget."""
+
+
 @dataclass(frozen=True)
 class BadRequest:
     """A request that the server rejects as malformed, too large or late.
--- a/packages/http/src/jacinthcroft_http/internal/response_writer.py
+++ b/packages/http/src/jacinthcroft_http/internal/response_writer.py
@@ -2,18 +2,24 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from typing import Final
 
 import h11
 
-from jacinthcroft_http.internal.base_connection import BaseConnection
+from jacinthcroft_http.internal.base_connection import (
+    WRITE_BUFFER_BYTES,
+    BaseConnection,
+)
 from jacinthcroft_http.internal.headers import Header
 from jacinthcroft_http.internal.messages import BODILESS_STATUSES, Response
 from jacinthcroft_http.internal.outcomes import BodyCut
 
 _CLOSE_HEADER: Final[Header] = (b'connection', b'close')
 _LENGTH_NAME: Final = b'content-length'
+# Larger bodies are written in pieces of this size, so that only pieces are
+# copied while the caller reads slowly.
+_PIECE_BYTES: Final = WRITE_BUFFER_BYTES
 
 
 class ResponseWriter:
@@ -46,8 +52,11 @@
             headers = [pair for pair in headers if pair[0] != _LENGTH_NAME]
             headers.append((_LENGTH_NAME, b'%d' % len(body)))
         encoded = self._encode_head(response, headers)
-        if has_body and body:
-            encoded += self._connection.encode(h11.Data(data=body))
+        for piece in _split(body) if has_body else ():
+            encoded += self._connection.encode(h11.Data(data=piece))
+            if len(encoded) > _PIECE_BYTES:
+                await self._connection.write(encoded)
+                encoded = b''
         await self._connection.write(
             encoded + self._connection.encode(h11.EndOfMessage())
         )
@@ -108,6 +117,11 @@
         return not self._is_head and response.status not in BODILESS_STATUSES
 
 
+def _split(body: bytes) -> Iterator[bytes]:
+    for start in range(0, len(body), _PIECE_BYTES):
+        yield body[start : start + _PIECE_BYTES]
+
+
 @contextlib.asynccontextmanager
 async def _closing(body: AsyncIterator[bytes]) -> AsyncIterator[None]:
     try:
--- a/tests/cover/seeded/test_endless_responses.py
+++ b/tests/cover/seeded/test_endless_responses.py
@@ -4,46 +4,43 @@
 import contextlib
 import tracemalloc
 from collections.abc import AsyncIterator
-from types import SimpleNamespace
-from typing import Any, cast
 
 import pytest
-from jacinthcroft_daemon.internal.seeded.sender import Sender, SendResult
-from jacinthcroft_decisions.dispatch import Grant, Outcome
-from jacinthcroft_http import (
-    ConnectionPool,
-    Headers,
-    IncomingRequest,
-    PoolLimits,
-    now,
-)
-from jacinthcroft_platform.settings import HEADER_NAMES
+from jacinthcroft_decisions.dispatch import Outcome
+from jacinthcroft_http import ConnectionPool, PoolLimits
 
-from tests.cover.http.http_support import HOST, repeat
+from tests.cover.http.http_support import HOST, join
+from tests.cover.seeded.sender_support import (
+    REQUEST_SECONDS,
+    make_sender,
+    send_once,
+)
 
-REQUEST_SECONDS = 1.0
 # Beside the four megabytes that a response may have.
 MAX_PEAK_BYTES = 16 * 1024 * 1024
 # Half the time that a request has, in which an innocent one is answered.
 INNOCENT_SECONDS = 0.5
 STATUS = b'HTTP/1.1 200 OK\r\nX-Attempt-Id: r\r\nX-Upstream-Signature: s\r\n'
-CHUNKED = STATUS + b'Transfer-Encoding: chunked\r\n\r\n'
+CHUNKED = join(STATUS, b'Transfer-Encoding: chunked\r\n\r\n')
+CHUNK = join(b'1000\r\n', b'a' * 4096, b'\r\n')
+OTHER_RESPONSE = STATUS.replace(b': r', b': other')
+# The start of a response, and what follows it without end.
 ENDLESS = {
     'head': (STATUS, b'X-A: 1\r\n' * 1000),
-    'header line': (STATUS + b'X-A: ', b'a' * 8000),
+    'header line': (join(STATUS, b'X-A: '), b'a' * 8000),
     'body with a length': (
-        STATUS + b'Content-Length: 99999999999\r\n\r\n',
+        join(STATUS, b'Content-Length: 99999999999\r\n\r\n'),
         b'a' * 8000,
     ),
-    'body without a length': (STATUS + b'\r\n', b'a' * 8000),
-    'chunks': (CHUNKED, (b'1000\r\n' + b'a' * 4096 + b'\r\n') * 2),
+    'body without a length': (join(STATUS, b'\r\n'), b'a' * 8000),
+    'chunks': (CHUNKED, CHUNK * 2),
     'tiny chunks': (CHUNKED, b'1\r\na\r\n' * 1000),
-    'chunk extension': (CHUNKED + b'1;', b'a' * 8000),
-    'trailers': (CHUNKED + b'0\r\n', b'X-A: 1\r\n' * 1000),
+    'chunk extension': (join(CHUNKED, b'1;'), b'a' * 8000),
+    'trailers': (join(CHUNKED, b'0\r\n'), b'X-A: 1\r\n' * 1000),
     'interim responses': (b'', b'HTTP/1.1 102 P\r\n\r\n' * 400),
     'other responses': (
         b'',
-        STATUS.replace(b': r', b': other') + b'Content-Length: 0\r\n\r\n',
+        join(OTHER_RESPONSE, b'Content-Length: 0\r\n\r\n'),
     ),
     'no protocol': (b'', b'\x00\xff' * 4000),
 }
@@ -77,30 +74,21 @@
         listener.close()
 
 
-async def _send(sender: Sender, port: int) -> SendResult:
-    admitted = SimpleNamespace(
-        request_id='r', expires=now() + REQUEST_SECONDS, team=None
-    )
-    request = IncomingRequest(
-        'GET', '/x', Headers((('host', 'h'),)), repeat(b'', 0), now(), 'caller'
-    )
-    grant = Grant(('vm', 1), 't1', HOST, port, 0.5)
-    return await sender.send(cast(Any, admitted), request, None, grant)
-
-
 @pytest.mark.parametrize('kind', list(ENDLESS))
 def test_endless_bytes_are_cut_off(kind: str) -> None:
     async def run() -> None:
         pool = ConnectionPool.from_limits(PoolLimits())
-        admission = SimpleNamespace(may_send=lambda _: True)
-        sender = Sender(pool, HEADER_NAMES, cast(Any, admission))
-        served = STATUS + b'Content-Length: 2\r\n\r\nok'
-        async with _target(*ENDLESS[kind]) as (port, is_closed):
-            async with _target(served, b'') as (sound_port, _):
-                endless, innocent = await asyncio.gather(
-                    _send(sender, port), _send(sender, sound_port)
-                )
-                await asyncio.wait_for(is_closed.wait(), 1)
+        sender = make_sender(pool)
+        served = join(STATUS, b'Content-Length: 2\r\n\r\nok')
+        async with (
+            _target(*ENDLESS[kind]) as (port, is_closed),
+            _target(served, b'') as (sound_port, _),
+        ):
+            endless, innocent = await asyncio.gather(
+                send_once(sender, port, 'r'),
+                send_once(sender, sound_port, 'r'),
+            )
+            await asyncio.wait_for(is_closed.wait(), 1)
         assert endless.outcome in {Outcome.BROKEN, Outcome.SILENT}
         assert endless.response is None
         assert endless.may_have_run
--- a/tests/cover/seeded/test_foreign_responses.py
+++ b/tests/cover/seeded/test_foreign_responses.py
@@ -8,22 +8,14 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator
-from types import SimpleNamespace
-from typing import Any, cast
 
 import pytest
-from jacinthcroft_daemon.internal.seeded.sender import Sender, SendResult
-from jacinthcroft_decisions.dispatch import Grant, Outcome
-from jacinthcroft_http import (
-    ConnectionPool,
-    Headers,
-    IncomingRequest,
-    PoolLimits,
-    now,
-)
-from jacinthcroft_platform.settings import HEADER_NAMES
-
-from tests.cover.http.http_support import HOST, repeat
+from jacinthcroft_daemon.internal.seeded.sender import SendResult
+from jacinthcroft_decisions.dispatch import Outcome
+from jacinthcroft_http import ConnectionPool, PoolLimits
+
+from tests.cover.http.http_support import HOST
+from tests.cover.seeded.sender_support import make_sender, send_once
 
 EARLIER_ID, REQUEST_ID = 'r1', 'r2'
 # Half of the time that a request has.
@@ -72,32 +64,13 @@
             writer.close()
 
 
-async def _send(
-    sender: Sender, port: int, request_id: str, method: str = 'GET'
-) -> SendResult:
-    admitted = SimpleNamespace(
-        request_id=request_id, expires=now() + 1.0, team=None
-    )
-    request = IncomingRequest(
-        method,
-        '/x',
-        Headers((('host', 'h'), ('x-attempt-id', request_id))),
-        repeat(b'', 0),
-        now(),
-        'caller',
-    )
-    grant = Grant(('vm', 1), 't1', HOST, port, 0.5)
-    return await sender.send(cast(Any, admitted), request, None, grant)
-
-
 def _exchange_twice(target: RawTarget, method: str = 'GET') -> list[SendResult]:
     async def run() -> list[SendResult]:
         pool = ConnectionPool.from_limits(PoolLimits())
-        admission = SimpleNamespace(may_send=lambda _: True)
-        sender = Sender(pool, HEADER_NAMES, cast(Any, admission))
+        sender = make_sender(pool)
         async with target.running() as port:
             results = [
-                await _send(sender, port, request_id, method)
+                await send_once(sender, port, request_id, method)
                 for request_id in (EARLIER_ID, REQUEST_ID)
             ]
             await pool.close()
