--- a/tests/cover/seeded/test_endless_responses.py
+++ b/tests/cover/seeded/test_endless_responses.py
@@ -40,7 +40,7 @@
     'interim responses': (b'', b'HTTP/1.1 102 P\r\n\r\n' * 400),
     'other responses': (
         b'',
-        join(OTHER_RESPONSE, b'Content-Length: 0\r\n\r\n'),
+        join(OTHER_RESPONSE, b'Content-Length: 0\r\n\r\n') * 100,
     ),
     'no protocol': (b'', b'\x00\xff' * 4000),
 }
