--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/vm.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/vm.py
@@ -55,6 +55,9 @@
 PEER_CONNECT_TIMEOUT_SECONDS: Final = 0.5
 # Longer than any configuration lets the connection of a caller be idle.
 CALLER_IDLE_TIMEOUT_SECONDS: Final = 75.0
+# A caller that reads nothing of its response for this long has left. Others
+# wait for the memory that the response occupies.
+CALLER_READ_TIMEOUT_SECONDS: Final = 10.0
 MAX_HEAD_BYTES: Final = 65536
 # Time between the stop signal and closing the callers' port, in which whatever
 # sends callers to this VM finds it not ready by two checks a second apart.
@@ -244,6 +247,7 @@
         limits = ServerLimits(
             max_head_bytes=MAX_HEAD_BYTES,
             keep_alive_timeout=CALLER_IDLE_TIMEOUT_SECONDS,
+            write_timeout=CALLER_READ_TIMEOUT_SECONDS,
         )
         for name, handler, host, port in listeners:
             server = Server.from_limits(
--- a/packages/http/src/jacinthcroft_http/internal/buffer_budget.py
+++ b/packages/http/src/jacinthcroft_http/internal/buffer_budget.py
@@ -2,7 +2,9 @@
 
 A body is held while it is read from a target, and then until its caller has
 received it. While the budget is used up, bodies are read one after the other,
-the oldest first, so that the others cannot block each other for good.
+the oldest first, so that they cannot block each other for good. Nothing is read
+while bodies that wait for their callers use up the budget alone, so that a
+process holds less than twice the limit and one more body.
 """
 
 import asyncio
@@ -22,8 +24,10 @@
 
     def __init__(self, limit_bytes: int) -> None:
         """Creates a budget of which nothing is used."""
-        self.held_bytes = 0
         self._limit_bytes = limit_bytes
+        # Of bodies that are being read, and of bodies that wait for callers.
+        self._read_bytes = 0
+        self._waiting_bytes = 0
         # The bodies that are being read, the oldest first.
         self._readers: dict[BodyReservation, None] = {}
 
@@ -32,6 +36,11 @@
         """Creates a budget with a limit in bytes."""
         return cls(limit_bytes)
 
+    @property
+    def held_bytes(self) -> int:
+        """The bytes that are held now."""
+        return self._read_bytes + self._waiting_bytes
+
     def reserve(self, deadline: float) -> 'BodyReservation':
         """Begins to read a body that is useless after `deadline`."""
         reservation = BodyReservation(self, deadline)
@@ -42,20 +51,29 @@
         """Whether a body may be read on."""
         if self.held_bytes < self._limit_bytes:
             return True
-        return next(iter(self._readers), None) is reservation
+        is_oldest = next(iter(self._readers), None) is reservation
+        return is_oldest and self._waiting_bytes < self._limit_bytes
 
     def take(self, size: int) -> None:
-        """Counts bytes that are held from now on."""
-        self.held_bytes += size
+        """Counts bytes of a body that is being read."""
+        self._read_bytes += size
 
-    def give_back(self, size: int) -> None:
-        """Counts bytes that are held no more."""
-        self.held_bytes -= size
+    def finish_reading(
+        self, reservation: 'BodyReservation', size: int, *, is_kept: bool
+    ) -> None:
+        """Counts the `size` bytes of a body as given back or as waiting."""
+        self._readers.pop(reservation, None)
+        self._read_bytes -= size
+        if is_kept:
+            self._waiting_bytes += size
         self._wake_readers()
 
-    def remove_reader(self, reservation: 'BodyReservation') -> None:
-        """Lets the next body be the oldest that is read."""
-        self._readers.pop(reservation, None)
+    def give_back_with(self, holder: object, size: int) -> None:
+        """Gives back waiting bytes when `holder`, which has them, is gone."""
+        weakref.finalize(holder, self._give_back, size).atexit = False
+
+    def _give_back(self, size: int) -> None:
+        self._waiting_bytes -= size
         self._wake_readers()
 
     def _wake_readers(self) -> None:
@@ -98,18 +116,17 @@
 
     def release(self) -> None:
         """Gives everything back, because the body is not needed."""
-        self._budget.remove_reader(self)
-        self._budget.give_back(self._held_bytes)
+        size = self._held_bytes
         self._held_bytes = 0
+        self._budget.finish_reading(self, size, is_kept=False)
 
     def release_with(self, holder: object) -> None:
         """Gives everything back when `holder`, which has the body, is gone."""
-        self._budget.remove_reader(self)
-        if self._held_bytes:
-            weakref.finalize(
-                holder, self._budget.give_back, self._held_bytes
-            ).atexit = False
-            self._held_bytes = 0
+        size = self._held_bytes
+        self._held_bytes = 0
+        self._budget.finish_reading(self, size, is_kept=True)
+        if size:
+            self._budget.give_back_with(holder, size)
 
     async def _wait_for_room(self) -> None:
         while not self._budget.has_room_for(self):
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -46,6 +46,7 @@
 SERVICE: Final = 'svc'
 COLD_SECONDS: Final = 3.0
 GRACE_SECONDS: Final = 6.0
+MEMORY_MB: Final = 200
 # How long a VM may need from its start until it is ready.
 START_SECONDS: Final = 30.0
 # Targets serve on for so long after they said that they leave, and longer.
@@ -57,6 +58,8 @@
 Node = "{{host}}"
 Ip = "{{host}}"
 Zone = "{{zone}}"
+[Self.Limits]
+MemoryMb = {MEMORY_MB}
 [Network]
 PortRange = [{{peers}}]
 Seeds = [{{seeds}}]
@@ -195,6 +198,10 @@
             has_ready_line=False,
         )
 
+    def vm_pid(self, host: str) -> int:
+        """Returns the id of a VM's process."""
+        return self._vms[host].pid
+
     def send_signal(self, host: str, number: signal.Signals) -> None:
         """Sends a signal to a VM's process."""
         self._vms[host].signal(number)
