Find recovered targets sooner while requests wait; keep large responses in their zone

Now the pause stays 0.7 s until a target has been failing for 5 s, and all requests may wait for avoided targets.

Cause 2: nearly all bytes between zones are downloads of 90 KB, and the choice of a target knew the size of request bodies only. A VM learns the size of each route's responses and adds it to its asks.

The log lines of sends name route and service.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/request_handler.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/request_handler.py
@@ -15,6 +15,7 @@
     Grant,
     Outcome,
     RefusalReason,
+    RouteSizes,
 )
 from jacinthcroft_decisions.dispatch import Refusal as DecisionRefusal
 from jacinthcroft_decisions.internal.traffic.quarantine import fingerprint
@@ -118,6 +119,7 @@
     _sender: Sender
     _host: str
     _metrics: VmMetrics
+    _sizes: RouteSizes = field(factory=RouteSizes)
 
     def may_start_early(self, request: IncomingRequest) -> bool:
         """Whether a pipelined request may run before its turn.
@@ -244,7 +246,7 @@
             admitted.expires - asked_at,
             admitted.objective_at - asked_at,
             progress.fingerprint,
-            len(progress.body.held),
+            len(progress.body.held) + self._sizes.estimate(admitted.route.name),
             tuple(progress.tried_targets),
             admitted.route.name,
         )
@@ -305,6 +307,7 @@
             'sent',
             request=progress.admitted.request_id,
             number=grant.key[1],
+            route=progress.admitted.route.name,
             service=progress.admitted.service,
             target=grant.target_id,
             attempt=len(progress.tried_targets),
@@ -322,6 +325,8 @@
     ) -> Response:
         assert result.response is not None
         admitted = progress.admitted
+        if isinstance(result.response.body, bytes):
+            self._sizes.record(admitted.route.name, len(result.response.body))
         self._metrics.record_request(
             admitted.team_name or 'open',
             'repeatable' if admitted.route.is_repeatable else 'once',
--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/wire.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/wire.py
@@ -69,7 +69,7 @@
         _to_millis(ask.time_left),
         _to_millis(ask.objective_left),
         ask.fingerprint,
-        ask.body_bytes,
+        ask.transfer_bytes,
         list(ask.excluded),
         ask.route,
     )
@@ -90,7 +90,7 @@
         time_left=time_left / _MILLIS_PER_SECOND,
         objective_left=objective_left / _MILLIS_PER_SECOND,
         fingerprint=str(fields[8]),
-        body_bytes=int(fields[9]),
+        transfer_bytes=int(fields[9]),
         excluded=tuple(str(target) for target in excluded),
         route=str(route),
     )
--- a/packages/decisions/src/jacinthcroft_decisions/dispatch.py
+++ b/packages/decisions/src/jacinthcroft_decisions/dispatch.py
@@ -27,6 +27,7 @@
     RefusalReason,
     Report,
 )
+from jacinthcroft_decisions.internal.dispatch.route_sizes import RouteSizes
 
 __all__ = (
     'IDLE_CONNECTION_SECONDS',
@@ -44,6 +45,7 @@
     'RefusalReason',
     'Report',
     'Route',
+    'RouteSizes',
     'ServiceSettings',
     'TargetEntry',
     'TeamSettings',
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/messages.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/messages.py
@@ -64,7 +64,8 @@
     caller gives up, `objective_left` the time until the response misses its
     latency objective, which is negative afterwards. Requests with the same
     `fingerprint` count as the same request when they crash targets. `route`
-    is the name under which latencies are averaged.
+    is the name under which latencies are averaged. `transfer_bytes` is the
+    expected size of both bodies, which cross between the VM and the target.
     """
 
     vm: str
@@ -77,7 +78,7 @@
     time_left: float
     objective_left: float
     fingerprint: str = ''
-    body_bytes: int = 0
+    transfer_bytes: int = 0
     excluded: tuple[str, ...] = ()
     route: str = ''
 
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/placement.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/placement.py
@@ -122,11 +122,11 @@
 def lowest_allowed_trust(pending: PendingAsk) -> TrustLevel:
     """Returns the lowest trust of a target that the request may go to now."""
     ask = pending.ask
-    if ask.is_repeatable and ask.attempt == 1 and not ask.excluded:
-        return TrustLevel.DOUBTFUL
     objective_seconds = pending.waited + max(0, ask.objective_left)
     if pending.waited >= AVOIDED_AFTER_SHARE * objective_seconds:
         return TrustLevel.AVOIDED
+    if ask.is_repeatable and ask.attempt == 1 and not ask.excluded:
+        return TrustLevel.DOUBTFUL
     if pending.waited >= DOUBTFUL_AFTER_SHARE * objective_seconds:
         return TrustLevel.DOUBTFUL
     return TrustLevel.UNKNOWN
@@ -141,11 +141,11 @@
     """
     if pending.prefers_unused and _may_try_unused(pending, record, now):
         return _FIRST_PREFERENCE
+    ask = pending.ask
+    may_probe = ask.is_repeatable and ask.attempt == 1
     trust = record.assess_trust(now)
     if trust > lowest_allowed_trust(pending):
         return None
-    ask = pending.ask
-    may_probe = ask.is_repeatable and ask.attempt == 1
     if may_probe and trust is TrustLevel.DOUBTFUL and not record.running:
         # If this probe fails, a second attempt on a proven target still
         # meets the latency objective.
@@ -175,7 +175,7 @@
         cost += CONNECT_COST
     if record.entry.zone != pending.zone:
         cost += ZONE_COST
-        cost += ask.body_bytes / _BYTES_PER_MIB * ZONE_BODY_COST_PER_MIB
+        cost += ask.transfer_bytes / _BYTES_PER_MIB * ZONE_BODY_COST_PER_MIB
     if record.is_cold(now):
         cost += COLD_COST
     if record.slowness is not None:
--- /dev/null
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/route_sizes.py
@@ -0,0 +1,35 @@
+"""Expected size of the responses of a route.
+
+A large response from a target in another availability zone costs more than a
+busier target in the VM's own zone.
+"""
+
+from collections import OrderedDict
+from typing import Final
+
+from attrs import define, field
+
+# Weight of the newest response in a route's mean size.
+NEWEST_WEIGHT: Final = 0.2
+# Number of routes whose size is remembered. The route whose last response is
+# the oldest is evicted.
+MAX_ROUTES: Final = 512
+
+
+@define
+class RouteSizes:
+    """Moving means of response sizes in bytes, by route."""
+
+    _means: OrderedDict[str, float] = field(factory=OrderedDict)
+
+    def estimate(self, route: str) -> int:
+        """Returns the expected size, 0 for a route without responses."""
+        return int(self._means.get(route, 0))
+
+    def record(self, route: str, size: int) -> None:
+        """Adds the size of a response to the mean of its route."""
+        mean = self._means.setdefault(route, size)
+        self._means[route] = mean + (size - mean) * NEWEST_WEIGHT
+        self._means.move_to_end(route)
+        while len(self._means) > MAX_ROUTES:
+            self._means.popitem(last=False)
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/target_record.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/target_record.py
@@ -26,6 +26,8 @@
 # Each further failure without a success in between doubles the time for which
 # the target is avoided, up to this maximum.
 MAX_AVOID_SECONDS: Final = 3.0
+# A target that has been failing for longer will probably not recover soon.
+LONG_FAILING_SECONDS: Final = 5.0
 # A target that fails by itself is expected back after this time.
 RECENT_FAILURE_SECONDS: Final = 2.0
 # A single response with an error status is an ordinary response. This many
@@ -117,6 +119,8 @@
     # Start of the newest attempt that failed: a request that was already
     # running then and is served later does not show that the target recovered.
     _failure_started: float = -math.inf
+    # When it first failed since it last served a request.
+    _failing_since: float = -math.inf
     _avoid_seconds: float = AVOID_SECONDS
     _error_streak: int = 0
 
@@ -166,7 +170,7 @@
         # While requests wait, capacity that has come back is worth some
         # failures, but not of a target that has been failing for long.
         pause = AVOID_SECONDS
-        if self._avoid_seconds >= MAX_AVOID_SECONDS:
+        if self._failed_at > self._failing_since + LONG_FAILING_SECONDS:
             pause = MAX_AVOID_SECONDS
         return now >= self._failed_at + pause and not self.running
 
@@ -233,6 +237,7 @@
         # The target is doubtful until it next serves a request, but not
         # avoided.
         if self._failed_at <= self.served_at:
+            self._failing_since = now
             self._failed_at = now
             self._avoid_seconds = 0
 
@@ -241,8 +246,8 @@
     ) -> None:
         self._error_streak += 1
         mean_seconds = request.expected_latency.mean_seconds
-        is_quick = seconds < QUICK_ERROR_SHARE * mean_seconds
-        if is_quick or self._error_streak >= MIN_ERROR_STREAK:
+        is_streak = self._error_streak >= MIN_ERROR_STREAK
+        if is_streak or seconds < QUICK_ERROR_SHARE * mean_seconds:
             self._record_failure(request.started, now)
             self.fails_fast = True
         else:
@@ -272,6 +277,7 @@
             self._avoid_seconds = min(MAX_AVOID_SECONDS, doubled_seconds)
         else:
             self._avoid_seconds = AVOID_SECONDS
+            self._failing_since = now
         self._failed_at = now
         self._failure_started = max(self._failure_started, started)
 
--- a/tests/cover/dispatch/test_heavy_loads.py
+++ b/tests/cover/dispatch/test_heavy_loads.py
@@ -199,3 +199,24 @@
     targets = QUICK_ERRORS.targets[:17]
     load = evolve(QUICK_ERRORS, targets=targets, per_second=160)
     assert _run_load(load, seed).served_share > MIN_SERVED_SHARE
+
+
+def test_repeatable_requests_find_recovered_targets_in_an_overload() -> None:
+    # More requests than the sound targets can serve; a probe that fails costs
+    # a repeatable request a few milliseconds.
+    load = Load(
+        QUICK_ERRORS.targets[:8],
+        180,
+        LOAD_SECONDS,
+        work=0.075,
+        deadline=1.2,
+        objective=0.4,
+        repeatable_share=1,
+        sick_error_seconds=0.004,
+        error_share=0.012,
+    )
+    result = _run_load(load, 1)
+    # The sound targets' slots, at the usual work, over what is asked.
+    sound_slots = (1 - load.sick_share) * len(load.targets) * TARGETS[0].slots
+    possible = sound_slots / load.work / load.per_second
+    assert result.served_share > MIN_SERVED_SHARE * possible
