--- a/tests/cover/seeded/test_seeded_fleet.py
+++ b/tests/cover/seeded/test_seeded_fleet.py
@@ -1,11 +1,19 @@
 """Tests a seeded fleet with a stand-in store and fake targets over HTTP."""
 
 import asyncio
+import contextlib
+import math
+import random
 import re
 from collections.abc import Awaitable, Callable
+from typing import Any
 from unittest import mock
 
 from jacinthcroft_daemon.internal.seeded.vm import SeededVm
+from jacinthcroft_daemon.internal.seeded.wire import (
+    DatagramKind,
+    pack_datagram,
+)
 from jacinthcroft_decisions.dispatch import IDLE_CONNECTION_SECONDS
 from jacinthcroft_decisions.membership import (
     DEPUTY_COUNT,
@@ -15,6 +23,7 @@
 
 from tests.cover.seeded.seeded_fleet import (
     METRICS,
+    PEERS,
     READY,
     SeededFleet,
     make_configuration,
@@ -380,3 +389,77 @@
 
 async def _read_age(fleet: SeededFleet, host: str) -> float:
     return await _read_gauge(fleet, host, 'state_age_seconds')
+
+
+def test_a_restarted_vm_uses_no_withdrawn_key_and_no_gone_target() -> None:
+    async def scene(fleet: SeededFleet) -> None:
+        await fleet.store.put('op/config', make_configuration(2, ['new']))
+        await fleet.store.delete('servers/t1')
+
+        async def is_known_everywhere() -> bool:
+            statuses = [
+                (await fleet.call(host, '/safe/', 'r', key='key'))[0]
+                for host in fleet.hosts
+            ]
+            return set(statuses) == {401}
+
+        await _wait_until(is_known_everywhere)
+        gone = fleet.targets[1]
+        gone.seen.clear()
+        # The platform is away from all VMs, also from the restarted ones.
+        fleet.store.is_down = True
+        for host in fleet.hosts[:2]:
+            await fleet.kill_vm(host)
+            fleet.start_vm(host)
+        for _ in range(20):
+            for host in fleet.hosts:
+                # A VM that is starting accepts no connection yet.
+                with contextlib.suppress(AssertionError):
+                    await fleet.call(host, '/safe/', 'withdrawn', key='key')
+                    await fleet.call(host, '/safe/', 'valid', key='new')
+            await asyncio.sleep(POLL_SECONDS)
+        fleet.store.is_down = False
+        for host in fleet.hosts:
+            await fleet.wait_ready(host)
+            assert (await fleet.call(host, '/safe/', 'r', key='key'))[0] == 401
+            assert (await fleet.call(host, '/safe/', 'r', key='new'))[0] == 200
+        assert not fleet.runs('withdrawn')
+        assert not gone.seen
+
+    _run_scene(scene)
+
+
+def test_malformed_datagrams_stop_no_vm() -> None:
+    odd_values: tuple[Any, ...] = (
+        None,
+        -1,
+        2**62,
+        math.nan,
+        math.inf,
+        '',
+        'x' * 999,
+        [],
+        [[]],
+    )
+
+    async def scene(fleet: SeededFleet) -> None:
+        source = random.Random(1)
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            asyncio.DatagramProtocol, local_addr=('127.0.0.9', 0)
+        )
+        for _ in range(1500):
+            kind = source.choice(list(DatagramKind))
+            fields = source.choices(odd_values, k=source.randrange(9))
+            datagram = bytearray(pack_datagram(kind, *fields))
+            if source.randrange(2):
+                datagram[source.randrange(len(datagram))] ^= 0xFF
+            for host in fleet.hosts:
+                transport.sendto(bytes(datagram), (host, PEERS))
+            await asyncio.sleep(0)
+        transport.close()
+        for number, host in enumerate(fleet.hosts):
+            status, _ = await fleet.call(host, '/safe/', f'r{number}')
+            assert status == 200
+
+    _run_scene(scene)
