--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/service_state.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/service_state.py
@@ -52,8 +52,8 @@
 # Share of its free slots that a target adds to the capacity while it is
 # doubtful or avoided because of failures, slowness or a hanging request.
 DOUBTFUL_SLOTS_SHARE: Final = 0.5
-# How long an estimate of the capacity is reused: one tick of the decider.
-CAPACITY_CACHE_SECONDS: Final = 0.03
+# How long an estimate over all targets is reused: one tick of the decider.
+ESTIMATE_REUSE_SECONDS: Final = 0.03
 # How long the record of a target that is no longer listed is kept, since its
 # entry may only have expired and may come back.
 UNLISTED_RECORD_SECONDS: Final = 10.0
@@ -80,6 +80,8 @@
     _free_targets: dict[str, TargetRecord] = field(factory=dict)
     _capacity: Capacity | None = None
     _capacity_at: float = -math.inf
+    _needs_unused_targets: bool = False
+    _floor_checked_at: float = -math.inf
     _cold_limiters: dict[str, ColdStartLimiter] = field(factory=dict)
 
     @property
@@ -131,7 +133,7 @@
         """
         if (
             self._capacity is None
-            or now > self._capacity_at + CAPACITY_CACHE_SECONDS
+            or now > self._capacity_at + ESTIMATE_REUSE_SECONDS
         ):
             slots = sum(
                 self._count_capacity_slots(record, now)
@@ -145,8 +147,16 @@
         return self._capacity
 
     def needs_unused_targets(self, now: float) -> bool:
-        """Whether targets that are not in use should get requests."""
-        return self.use_floor.needs_unused_targets(self.usable, now)
+        """Whether targets that are not in use should get requests.
+
+        The answer is reused for one tick of the decider.
+        """
+        if now > self._floor_checked_at + ESTIMATE_REUSE_SECONDS:
+            self._needs_unused_targets = self.use_floor.needs_unused_targets(
+                self.usable, now
+            )
+            self._floor_checked_at = now
+        return self._needs_unused_targets
 
     def find_target(
         self,
