Keep downloads in their zone from the first one; compute the lowest trust once a choice

Routes of type download are taken for large until their first response. The lowest trust that an ask may use was computed for each target, on the VM that is the busiest of a large fleet.

--- a/packages/daemon/src/jacinthcroft_daemon/internal/seeded/request_handler.py
+++ b/packages/daemon/src/jacinthcroft_daemon/internal/seeded/request_handler.py
@@ -246,7 +246,7 @@
             admitted.expires - asked_at,
             admitted.objective_at - asked_at,
             progress.fingerprint,
-            len(progress.body.held) + self._sizes.estimate(admitted.route.name),
+            len(progress.body.held) + self._sizes.estimate(admitted.route),
             tuple(progress.tried_targets),
             admitted.route.name,
         )
@@ -326,7 +326,7 @@
         assert result.response is not None
         admitted = progress.admitted
         if isinstance(result.response.body, bytes):
-            self._sizes.record(admitted.route.name, len(result.response.body))
+            self._sizes.record(admitted.route, len(result.response.body))
         self._metrics.record_request(
             admitted.team_name or 'open',
             'repeatable' if admitted.route.is_repeatable else 'once',
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/documents.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/documents.py
@@ -15,6 +15,7 @@
     than once, and a public one needs no API key. `rank` is the urgency; 0 is
     the most urgent. `timeout` is the maximum time until a request's deadline.
     `objective` is the latency within which a response should arrive.
+    `has_large_responses` says that they are usually tens of kilobytes.
     """
 
     name: str
@@ -27,6 +28,7 @@
     rank: int
     timeout: float | None
     objective: float | None
+    has_large_responses: bool = False
 
 
 @frozen
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/placement.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/placement.py
@@ -91,8 +91,9 @@
     """
     best: TargetRecord | None = None
     best_key: tuple[int, float, float] | None = None
+    lowest_trust = lowest_allowed_trust(pending)
     for record in candidates:
-        preference = _find_preference(pending, record, now)
+        preference = _find_preference(pending, record, lowest_trust, now)
         if preference is None:
             continue
         sort_key = (
@@ -133,7 +134,10 @@
 
 
 def _find_preference(
-    pending: PendingAsk, record: TargetRecord, now: float
+    pending: PendingAsk,
+    record: TargetRecord,
+    lowest_trust: TrustLevel,
+    now: float,
 ) -> int | None:
     """Returns how preferred a target is, or None if it must not be used.
 
@@ -144,7 +148,7 @@
     ask = pending.ask
     may_probe = ask.is_repeatable and ask.attempt == 1
     trust = record.assess_trust(now)
-    if trust > lowest_allowed_trust(pending):
+    if trust > lowest_trust:
         return None
     if may_probe and trust is TrustLevel.DOUBTFUL and not record.running:
         # If this probe fails, a second attempt on a proven target still
--- a/tests/cover/dispatch/dispatch_builders.py
+++ b/tests/cover/dispatch/dispatch_builders.py
@@ -45,15 +45,10 @@
     return evolve(entry, **changes)
 
 
-def make_documents(
-    targets: list[TargetEntry],
-    rate: float = 0,
-    burst: float = 0,
-    evacuated: tuple[str, ...] = (),
-) -> FleetDocuments:
-    """Returns documents of one service and one team."""
-    route = Route(
-        name='r',
+def make_route(name: str) -> Route:
+    """Returns a repeatable route of the service."""
+    return Route(
+        name=name,
         host='h',
         prefix='/',
         parts=((SERVICE, 1.0),),
@@ -64,11 +59,20 @@
         timeout=1.5,
         objective=0.8,
     )
+
+
+def make_documents(
+    targets: list[TargetEntry],
+    rate: float = 0,
+    burst: float = 0,
+    evacuated: tuple[str, ...] = (),
+) -> FleetDocuments:
+    """Returns documents of one service and one team."""
     team = TeamSettings('team', frozenset((b'k',)), None, rate, burst)
     return FleetDocuments(
         Configuration(
             1,
-            (route,),
+            (make_route('r'),),
             {SERVICE: ServiceSettings(SERVICE, 300, 3.0, 2.5)},
             {'team': team},
             CallerLimits(1000, 1000, 1, 1),
--- a/tests/cover/dispatch/test_deciding.py
+++ b/tests/cover/dispatch/test_deciding.py
@@ -3,6 +3,7 @@
 import itertools
 from typing import Any
 
+from attrs import evolve
 from jacinthcroft_decisions.dispatch import (
     Decider,
     Decision,
@@ -16,7 +17,10 @@
 from jacinthcroft_decisions.internal.dispatch.route_latencies import (
     ExpectedLatency,
 )
-from jacinthcroft_decisions.internal.dispatch.route_sizes import MAX_ROUTES
+from jacinthcroft_decisions.internal.dispatch.route_sizes import (
+    INITIAL_LARGE_BYTES,
+    MAX_ROUTES,
+)
 from jacinthcroft_decisions.internal.dispatch.target_record import (
     AVOID_SECONDS,
     LONG_FAILING_SECONDS,
@@ -27,6 +31,7 @@
     make_ask,
     make_decider,
     make_documents,
+    make_route,
     make_target,
 )
 
@@ -353,17 +358,21 @@
 
 def test_the_size_of_a_routes_responses_is_learned() -> None:
     sizes = RouteSizes()
-    assert sizes.estimate('download') == 0
+    download = evolve(make_route('download'), has_large_responses=True)
+    lookup = make_route('lookup')
+    assert sizes.estimate(download) == INITIAL_LARGE_BYTES
+    assert sizes.estimate(lookup) == 0
     for _ in range(20):
-        sizes.record('download', 90_000)
-        sizes.record('lookup', 1500)
-    assert sizes.estimate('download') == 90_000
-    assert sizes.estimate('lookup') == 1500
+        sizes.record(download, 90_000)
+        sizes.record(lookup, 1500)
+    assert sizes.estimate(download) == 90_000
+    assert sizes.estimate(lookup) == 1500
 
 
 def test_the_sizes_of_few_routes_are_kept() -> None:
     sizes = RouteSizes()
-    for number in range(MAX_ROUTES + 1):
-        sizes.record(f'r{number}', 100)
-    assert sizes.estimate('r0') == 0
-    assert sizes.estimate(f'r{MAX_ROUTES}') == 100
+    routes = [make_route(f'r{number}') for number in range(MAX_ROUTES + 1)]
+    for route in routes:
+        sizes.record(route, 100)
+    assert sizes.estimate(routes[0]) == 0
+    assert sizes.estimate(routes[-1]) == 100
--- a/tests/cover/platform/test_decoding.py
+++ b/tests/cover/platform/test_decoding.py
@@ -81,6 +81,7 @@
     route = decode_configuration(content).find_route('h.example', '/p/')
     assert route is not None
     assert route.is_repeatable
+    assert route.has_large_responses == (kind == 'download')
 
 
 def test_the_route_with_the_longest_matching_prefix_is_found() -> None:
