--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/target_record.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/target_record.py
@@ -115,6 +115,7 @@
     # Its last failure was quick. Such a target frees its slots at once and
     # could fail every queued request.
     fails_fast: bool = False
+    _answered_at: float = -math.inf
     _failed_at: float = -math.inf
     # Start of the newest attempt that failed: a request that was already
     # running then and is served later does not show that the target recovered.
@@ -228,9 +229,9 @@
 
     def _is_failure(self, outcome: Outcome, started: float) -> bool:
         if outcome is Outcome.SILENT:
-            # A request that was sent later and was served shows that the
-            # target was healthy meanwhile.
-            return self.proven_at <= started
+            # A response after this request was sent shows that the target
+            # was healthy meanwhile.
+            return self._answered_at <= started
         return outcome is Outcome.BROKEN
 
     def _record_doubt(self, now: float) -> None:
@@ -257,6 +258,7 @@
         self, request: RunningRequest, seconds: float, now: float
     ) -> None:
         self.proven_at = max(self.proven_at, request.started)
+        self._answered_at = now
         if request.started >= self._failure_started:
             self._error_streak = 0
             self.fails_fast = False
--- a/tests/cover/dispatch/test_deciding.py
+++ b/tests/cover/dispatch/test_deciding.py
@@ -25,6 +25,7 @@
     AVOID_SECONDS,
     LONG_FAILING_SECONDS,
     TargetRecord,
+    TrustLevel,
 )
 
 from tests.cover.dispatch.dispatch_builders import (
@@ -112,6 +113,17 @@
     assert failing not in chosen
 
 
+def test_a_slow_request_beside_a_served_one_is_no_failure() -> None:
+    record = TargetRecord(make_target(1), 0)
+    earlier, slow = ('vm', 1), ('vm', 2)
+    record.start_request(earlier, ExpectedLatency(0.2), 0)
+    record.start_request(slow, ExpectedLatency(0.2), 0.1)
+    record.finish_request(earlier, Outcome.SERVED, 0.2, 0.2)
+    # A second attempt of the slow request was served elsewhere.
+    record.finish_request(slow, Outcome.SILENT, 0.4, 0.5)
+    assert record.assess_trust(0.5) is TrustLevel.PROVEN
+
+
 def test_a_target_that_fails_fast_is_tried_again_while_requests_wait() -> None:
     record = TargetRecord(make_target(1), 0)
     tried_at = [0.0]
