--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/placement.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/placement.py
@@ -147,7 +147,11 @@
         return _FIRST_PREFERENCE
     ask = pending.ask
     may_probe = ask.is_repeatable and ask.attempt == 1
-    trust = record.assess_trust(now)
+    trust = (
+        record.assess_trust(now)
+        if ask.is_repeatable
+        else record.assess_trust_once(now)
+    )
     if trust > lowest_trust:
         return None
     if may_probe and trust is TrustLevel.DOUBTFUL and not record.running:
--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/target_record.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/target_record.py
@@ -34,7 +34,8 @@
 # without a success in between count as a failure of the target.
 MIN_ERROR_STREAK: Final = 2
 # An error within this share of the expected latency is no response to the
-# request itself: the target fails whatever it gets. One is enough.
+# request itself: the target fails whatever it gets. One is enough for requests
+# that may run only once; others can find out whether it serves again.
 QUICK_ERROR_SHARE: Final = 0.3
 # Weight of the newest latency in a target's slowness.
 NEWEST_LATENCY_WEIGHT: Final = 0.2
@@ -116,6 +117,8 @@
     # could fail every queued request.
     fails_fast: bool = False
     _answered_at: float = -math.inf
+    # When it last responded with an error much sooner than usual.
+    _erred_at: float = -math.inf
     _failed_at: float = -math.inf
     # Start of the newest attempt that failed: a request that was already
     # running then and is served later does not show that the target recovered.
@@ -141,6 +144,18 @@
             for request in self.running.values()
         )
 
+    def assess_trust_once(self, now: float) -> TrustLevel:
+        """Returns the trust for a request that may run only once.
+
+        A single error is enough to send it elsewhere.
+        """
+        trust = self.assess_trust(now)
+        if now < self._erred_at + AVOID_SECONDS:
+            return TrustLevel.AVOIDED
+        if self._erred_at > self.served_at:
+            return max(trust, TrustLevel.DOUBTFUL)
+        return trust
+
     def assess_trust(self, now: float) -> TrustLevel:
         """Returns the trust that its outcomes and running requests justify."""
         if now < self._failed_at + self._avoid_seconds:
@@ -211,7 +226,7 @@
         elif outcome is Outcome.ERROR:
             self._record_error(request, seconds, now)
         elif outcome is Outcome.STALE:
-            self._record_doubt(now)
+            self._record_stale_connection(now)
         elif self._is_failure(outcome, request.started):
             self._record_failure(request.started, now)
             self.fails_fast = seconds < request.expected_latency.mean_seconds
@@ -234,9 +249,10 @@
             return self._answered_at <= started
         return outcome is Outcome.BROKEN
 
-    def _record_doubt(self, now: float) -> None:
-        # The target is doubtful until it next serves a request, but not
-        # avoided.
+    def _record_stale_connection(self, now: float) -> None:
+        # The target may have dropped the idle connection or reset the
+        # request itself. It is doubtful until it next serves a request, but
+        # not avoided.
         if self._failed_at <= self.served_at:
             self._failing_since = now
             self._failed_at = now
@@ -247,12 +263,12 @@
     ) -> None:
         self._error_streak += 1
         mean_seconds = request.expected_latency.mean_seconds
-        is_streak = self._error_streak >= MIN_ERROR_STREAK
-        if is_streak or seconds < QUICK_ERROR_SHARE * mean_seconds:
+        if seconds < QUICK_ERROR_SHARE * mean_seconds:
+            self._erred_at = now
+            self._failure_started = max(self._failure_started, request.started)
+        if self._error_streak >= MIN_ERROR_STREAK:
             self._record_failure(request.started, now)
             self.fails_fast = True
-        else:
-            self._record_doubt(now)
 
     def _record_success(
         self, request: RunningRequest, seconds: float, now: float
--- a/tests/cover/dispatch/test_deciding.py
+++ b/tests/cover/dispatch/test_deciding.py
@@ -102,6 +102,15 @@
     assert failing not in chosen
 
 
+def test_one_quick_error_does_not_turn_repeatable_requests_away() -> None:
+    decider = make_decider([make_target(1)])
+    _serve(decider, 1, 0)
+    _serve(decider, 2, 1, Outcome.ERROR, 0.01)
+    repeatable = decider.decide(make_ask(3, is_repeatable=True), 'a', 1.1)
+    assert isinstance(repeatable, Grant)
+    assert decider.decide(make_ask(4), 'a', 1.1) is None
+
+
 def test_a_request_that_ran_before_a_failure_does_not_show_recovery() -> None:
     decider = make_decider([make_target(1)])
     earlier = make_ask(1)
