--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -37,6 +37,11 @@
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
-    """Prints the known-red tests below the results."""
+    """Prints the known-red tests, and how those of this run failed."""
     for test_id, seen in read_known_red().items():
         terminalreporter.write_line(f'KNOWN-RED {test_id}: {seen}')
+    for report in terminalreporter.stats.get('xfailed', ()):
+        terminalreporter.write_line(
+            f'KNOWN-RED failed in this run: {report.nodeid}\n'
+            f'{report.longreprtext}',
+        )
