--- a/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/target_record.py
+++ b/packages/decisions/src/jacinthcroft_decisions/internal/dispatch/target_record.py
@@ -116,6 +116,7 @@
     # Its last failure was quick. Such a target frees its slots at once and
     # could fail every queued request.
     fails_fast: bool = False
+    # When it last served any request, also one from before its last failure.
     _answered_at: float = -math.inf
     # When it last responded with an error much sooner than usual.
     _erred_at: float = -math.inf
@@ -147,7 +148,7 @@
     def assess_trust_once(self, now: float) -> TrustLevel:
         """Returns the trust for a request that may run only once.
 
-        A single error is enough to send it elsewhere.
+        A single quick error is enough to send it elsewhere.
         """
         trust = self.assess_trust(now)
         if now < self._erred_at + AVOID_SECONDS:
@@ -177,9 +178,10 @@
     def may_get_request(self, now: float) -> bool:
         """Whether the target's recent failures allow a request now.
 
-        A target that fails fast gets one request at a time, and none while it
-        is avoided. Its free slots do not mean that it has capacity: in a
-        burst it would get one request after the other and fail them all.
+        A target that fails fast gets one request at a time, and none for a
+        while after its last failure. Its free slots do not mean that it has
+        capacity: in a burst it would get one request after the other and fail
+        them all.
         """
         if not self.fails_fast:
             return True
