--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""An entry that can't be read lies in the store; a new version follows."""
+"""An entry that can't be read lies in the store; new versions follow."""
 
 import asyncio
 import os
@@ -15,7 +15,9 @@
 REQUESTS_PER_SECOND = 25
 CALM_SECONDS = 6.0
 ENTRY_SECONDS = 4.0
+# After each of two ordinary changes of the configuration.
 AFTER_SECONDS = 20.0
+ADDED_PREFIXES = ('/neze114/', '/wupa220/')
 KEY = '2b9wu3fexd9dnn2ctnfz'
 VARIANTS = {
     # Bytes that can't be read: they are no whole JSON document.
@@ -68,11 +70,14 @@
             await rig.store.put('servers/i-other', VARIANTS[variant])
             rig.note('entry-written', key='servers/i-other', variant=variant)
         await make_load(rig, clients, REQUESTS_PER_SECOND, ENTRY_SECONDS, make_request)
-        added = make_route('r-added', '/neze114/', 'safe', 'huvo11a')
-        await rig.store.put('op/config', configure(10, added))
-        rig.note('configuration-acknowledged', version='0000000a')
         changed = len(rig.answers)
-        await make_load(rig, clients, REQUESTS_PER_SECOND, AFTER_SECONDS, make_request)
+        for version, prefix in enumerate(ADDED_PREFIXES, start=10):
+            added = make_route('r-added', prefix, 'safe', 'huvo11a')
+            await rig.store.put('op/config', configure(version, added))
+            rig.note('configuration-acknowledged', version=f'{version:08x}')
+            await make_load(
+                rig, clients, REQUESTS_PER_SECOND, AFTER_SECONDS, make_request
+            )
         after = rig.answers[changed:]
         served_after = sum(answer[3] == 200 for answer in after)
     finally:
@@ -81,7 +86,7 @@
     failing = sum(count >= MIN_ENDS for count in ends.values())
     text = (
         f'processes that ended by themselves: {ends}; served in the calm part: '
-        f'{served_before} of {before}; after the new version: {served_after} of '
+        f'{served_before} of {before}; after the new versions: {served_after} of '
         f'{len(after)}'
     )
     return rig.finish(text, 1 if failing >= MIN_VMS else 0)
