--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -12,9 +12,12 @@
 import secrets
 import shutil
 import signal
+import socket
+import sys
 import tempfile
 import time
 import tomllib
+import traceback
 
 from http1 import encode_request, read_message
 from store import Store
@@ -23,7 +26,8 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 ZONES = ('muc-a', 'nue-a', 'muc-b')
 RESTART_SECONDS = 0.5
-LEAD_SECONDS = 8.0
+# A run that takes longer is given up.
+RUN_SECONDS = 115.0
 READY_INTERVAL_SECONDS = 1.0
 _SETTINGS = """
 [Self]
@@ -366,8 +370,6 @@
 
 
 def _find_free_port(net):
-    import socket
-
     for _ in range(50):
         port = random.randrange(20_000, 30_000)
         try:
@@ -463,13 +465,17 @@
         await asyncio.wait(calls, timeout=5)
 
 
+async def _play_within_limit(play):
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+    async with asyncio.timeout(RUN_SECONDS):
+        return await play()
+
+
 def main(play):
     """Runs a case; exits with 2 if it could not be played."""
-    import sys
-    import traceback
-
     try:
-        sys.exit(asyncio.run(play()))
+        sys.exit(asyncio.run(_play_within_limit(play)))
     except SystemExit:
         raise
     except BaseException:
